--- /dev/null
+++ b/marigoldlock_core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Admission: who may run now.
--- /dev/null
+++ b/marigoldlock_core/src/authority/mod.rs
@@ -0,0 +1,1 @@
+//! Authority over a duty, kept in the log.
--- /dev/null
+++ b/marigoldlock_core/src/calls/mod.rs
@@ -0,0 +1,1 @@
+//! Calls that may not be repeated.
--- /dev/null
+++ b/marigoldlock_core/src/jobs/mod.rs
@@ -0,0 +1,1 @@
+//! Long work that outlives instances.
--- /dev/null
+++ b/marigoldlock_core/src/keys/mod.rs
@@ -0,0 +1,1 @@
+//! Keys of customers.
--- /dev/null
+++ b/marigoldlock_core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Who lives, leaves or is gone.
--- /dev/null
+++ b/marigoldlock_core/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to engines and to the platform.
--- /dev/null
+++ b/marigoldlock_core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Roles, models and upstreams.
--- /dev/null
+++ b/marigoldlock_core/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! Relaying streams whole.
--- /dev/null
+++ b/marigoldlock_core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Which upstream a request goes to.
--- /dev/null
+++ b/marigoldlock_core/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings by path, folded from the log.
--- /dev/null
+++ b/marigoldlock_core/src/usage/mod.rs
@@ -0,0 +1,1 @@
+//! Usage by customer and window.
--- /dev/null
+++ b/marigoldlock_wire/src/record/authority.rs
@@ -0,0 +1,1 @@
+//! Records of the authority duty.
--- /dev/null
+++ b/marigoldlock_wire/src/record/calls.rs
@@ -0,0 +1,1 @@
+//! Records of the calls duty.
--- /dev/null
+++ b/marigoldlock_wire/src/record/jobs.rs
@@ -0,0 +1,1 @@
+//! Records of the jobs duty.
--- /dev/null
+++ b/marigoldlock_wire/src/record/orders.rs
@@ -0,0 +1,1 @@
+//! Records of the orders duty.
