--- /dev/null
+++ b/marigoldlock_standin/src/server.rs
@@ -0,0 +1,276 @@
+//! HTTP server of a stand-in, with the faults applied around its routes.
+//!
+//! A connection can be cut from inside a handler through its [`ConnectionHandle`], and all of them, with the
+//! listener, when the fault plan says that the stand-in is gone. It comes back on the same address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{StatusCode, header};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use eyre::WrapErr;
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::faults::{CallFate, CallFault, FaultKnobs, FaultPlan, Presence};
+
+/// Largest body that a stand-in takes, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Pause between two tries to take the address back, in milliseconds.
+const REBIND_PAUSE_MS: u64 = 20;
+
+/// Prefix of the paths that serve checks and faults.
+pub const CONTROL_PREFIX: &str = "/_standin/";
+
+/// What becomes of a running call whose caller closes the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerLoss {
+    /// The call runs to its end.
+    Finish,
+    /// The call is cancelled.
+    Cancel,
+}
+
+/// Handle on the connection that a request came over.
+#[derive(Clone, Debug)]
+pub struct ConnectionHandle(CancellationToken);
+
+impl ConnectionHandle {
+    /// Closes the connection, whatever is under way on it.
+    pub fn cut(&self) {
+        self.0.cancel();
+    }
+}
+
+/// Running HTTP server of a stand-in.
+#[derive(Debug)]
+pub struct StandinServer {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl StandinServer {
+    /// Binds `listen` and serves `routes` with the faults around them.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn start(
+        listen: SocketAddr,
+        routes: Router,
+        faults: &FaultKnobs,
+        loss: CallerLoss,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(listen)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {listen}"))?;
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let layer = FaultLayer {
+            faults: faults.clone(),
+            loss,
+        };
+        let accept = AcceptLoop {
+            address,
+            routes: with_faults(routes, layer),
+            faults: faults.clone(),
+            connections: CancellationToken::new(),
+            tracker: TaskTracker::new(),
+        };
+        let task = tokio::spawn(accept.run(listener, stop.clone()));
+        Ok(Self { address, stop, task })
+    }
+
+    /// Address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections.
+    pub async fn close(self) {
+        self.stop.cancel();
+        if let Err(error) = self.task.await {
+            log::warn!(error:% = error; "stand-in server ended badly");
+        }
+    }
+}
+
+struct AcceptLoop {
+    address: SocketAddr,
+    routes: Router,
+    faults: FaultKnobs,
+    connections: CancellationToken,
+    tracker: TaskTracker,
+}
+
+impl AcceptLoop {
+    async fn run(mut self, listener: TcpListener, stop: CancellationToken) {
+        let faults = self.faults.clone();
+        tokio::select! {
+            () = stop.cancelled() => {},
+            () = faults.follow_plan() => {},
+            () = self.serve(listener) => {},
+        }
+        self.connections.cancel();
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+
+    async fn serve(&mut self, listener: TcpListener) {
+        let mut presence = self.faults.presence();
+        let mut restarts = presence.borrow().restarts;
+        let mut listener = Some(listener);
+        loop {
+            let Presence {
+                absent,
+                restarts: seen,
+            } = *presence.borrow_and_update();
+            if absent || seen != restarts {
+                restarts = seen;
+                listener = None;
+                self.connections.cancel();
+                self.connections = CancellationToken::new();
+            }
+            if !absent && listener.is_none() {
+                listener = Some(self.rebind().await);
+            }
+            let Some(open) = &listener else {
+                let _ = presence.changed().await;
+                continue;
+            };
+            tokio::select! {
+                biased;
+                _ = presence.changed() => {},
+                accepted = open.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        self.spawn_connection(stream);
+                    }
+                },
+            }
+        }
+    }
+
+    async fn rebind(&self) -> TcpListener {
+        loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => return listener,
+                Err(error) => log::warn!(address:% = self.address, error:% = error; "address not free yet"),
+            }
+            tokio::time::sleep(Duration::from_millis(REBIND_PAUSE_MS)).await;
+        }
+    }
+
+    fn spawn_connection(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let token = self.connections.child_token();
+        let handle = ConnectionHandle(token.clone());
+        let routes = TowerToHyperService::new(self.routes.clone());
+        let service = service_fn(move |mut request: hyper::Request<hyper::body::Incoming>| {
+            request.extensions_mut().insert(handle.clone());
+            routes.call(request)
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        self.tracker.spawn(async move {
+            tokio::select! {
+                biased;
+                () = token.cancelled() => {},
+                _ = connection => {},
+            }
+        });
+    }
+}
+
+#[derive(Clone)]
+struct FaultLayer {
+    faults: FaultKnobs,
+    loss: CallerLoss,
+}
+
+fn with_faults(routes: Router, layer: FaultLayer) -> Router {
+    let control = Router::new()
+        .route("/_standin/faults", get(show_faults).put(set_faults))
+        .with_state(layer.faults.clone());
+    routes
+        .layer(middleware::from_fn_with_state(layer, apply_faults))
+        .merge(control)
+}
+
+async fn show_faults(State(faults): State<FaultKnobs>) -> Json<FaultPlan> {
+    Json(faults.plan())
+}
+
+async fn set_faults(State(faults): State<FaultKnobs>, Json(plan): Json<FaultPlan>) -> StatusCode {
+    faults.set(plan);
+    StatusCode::NO_CONTENT
+}
+
+async fn apply_faults(State(layer): State<FaultLayer>, request: Request, next: Next) -> Response {
+    let path = request.uri().path();
+    if path.starts_with(CONTROL_PREFIX) {
+        return next.run(request).await;
+    }
+    let fault = layer.faults.begin_call(request.method().as_str(), path);
+    if fault.fate == CallFate::Refuse {
+        tokio::time::sleep(fault.delay).await;
+        return refusal();
+    }
+    let connection = request.extensions().get::<ConnectionHandle>().cloned();
+    let (parts, body) = request.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, MAX_BODY_BYTES).await else {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    };
+    if fault.fate == CallFate::Stall {
+        return std::future::pending().await;
+    }
+    let request = Request::from_parts(parts, Body::from(body));
+    let call = run_call(request, next, fault, connection);
+    match layer.loss {
+        CallerLoss::Cancel => call.await,
+        CallerLoss::Finish => match tokio::spawn(call).await {
+            Ok(response) => response,
+            Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        },
+    }
+}
+
+async fn run_call(
+    request: Request,
+    next: Next,
+    fault: CallFault,
+    connection: Option<ConnectionHandle>,
+) -> Response {
+    if !fault.delay.is_zero() {
+        tokio::time::sleep(fault.delay).await;
+    }
+    let response = next.run(request).await;
+    if !fault.answer_delay.is_zero() {
+        tokio::time::sleep(fault.answer_delay).await;
+    }
+    match fault.fate {
+        CallFate::DropAnswer => {
+            if let Some(connection) = connection {
+                connection.cut();
+            }
+            std::future::pending().await
+        }
+        CallFate::StallAnswer => std::future::pending().await,
+        CallFate::Pass | CallFate::Refuse | CallFate::Stall => response,
+    }
+}
+
+fn refusal() -> Response {
+    (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, "1")]).into_response()
+}
