--- /dev/null
+++ b/marigoldlock_core/src/routing/index.rs
@@ -0,0 +1,67 @@
+//! Index of the upstreams by service and model.
+
+use crate::prelude::*;
+
+use super::types::{RouteRefusal, UpstreamFacts};
+
+/// Slots of one service's upstreams.
+#[derive(Clone, Debug, Default)]
+struct ServiceSlots {
+    all: Vec<u32>,
+    by_model: FastMap<ModelId, Vec<u32>>,
+}
+
+/// Slots by service and model, each list in ascending order.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceIndex {
+    services: FastMap<ServiceId, ServiceSlots>,
+}
+
+impl ServiceIndex {
+    pub(super) fn insert(&mut self, facts: &UpstreamFacts, slot: u32) {
+        let service = self.services.entry(facts.service.clone()).or_default();
+        insert_sorted(&mut service.all, slot);
+        for model in &facts.models {
+            insert_sorted(service.by_model.entry(model.clone()).or_default(), slot);
+        }
+    }
+
+    pub(super) fn remove(&mut self, facts: &UpstreamFacts, slot: u32) {
+        let Some(service) = self.services.get_mut(&facts.service) else {
+            return;
+        };
+        service.all.retain(|held| *held != slot);
+        for model in &facts.models {
+            if let Some(slots) = service.by_model.get_mut(model) {
+                slots.retain(|held| *held != slot);
+            }
+        }
+        service.by_model.retain(|_, slots| !slots.is_empty());
+        if service.all.is_empty() {
+            self.services.remove(&facts.service);
+        }
+    }
+
+    /// Upstreams of the service that serve the model; all of the service without a model.
+    pub(super) fn members(
+        &self,
+        service: &ServiceId,
+        model: Option<&ModelId>,
+    ) -> Result<&[u32], RouteRefusal> {
+        let slots = self.services.get(service).ok_or(RouteRefusal::NoUpstream)?;
+        match model {
+            None => Ok(&slots.all),
+            Some(model) => slots
+                .by_model
+                .get(model)
+                .map(Vec::as_slice)
+                .ok_or(RouteRefusal::NoModel),
+        }
+    }
+}
+
+fn insert_sorted(slots: &mut Vec<u32>, slot: u32) {
+    if let Err(place) = slots.binary_search(&slot) {
+        slots.insert(place, slot);
+    }
+}
--- /dev/null
+++ b/marigoldlock_core/src/routing/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the routing table and its policies.
--- a/marigoldlock_wire/src/peer.rs
+++ b/marigoldlock_wire/src/peer.rs
@@ -79,6 +79,8 @@
     pub requests: u32,
     /// Prompt tokens whose first token has not come.
     pub prefill_tokens: u64,
+    /// Those of them that belong to interactive work.
+    pub urgent_prefill_tokens: u64,
 }
 
 /// Weighted service that a customer has received through one instance.
@@ -92,6 +94,12 @@
     pub served: u64,
     /// Requests in flight.
     pub in_flight: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Weighted tokens by class: interactive, standard, long.
+    pub served_by_class: [u64; 3],
+    /// Requests in flight or waiting, by class.
+    pub active_by_class: [u32; 3],
 }
 
 /// Usage that one incarnation counted for a customer in a window.
