--- /dev/null
+++ b/marigoldlock_core/src/orders/tests.rs
@@ -0,0 +1,27 @@
+//! Tests of the order book's rules that the model check does not reach.
+
+use marigoldlock_wire::engine::EngineAction;
+use marigoldlock_wire::record::orders::OrderBody;
+
+use super::*;
+use crate::prelude::*;
+
+#[test]
+fn wish_for_the_same_receiver_replaces_the_older_one() {
+    let me = marigoldlock_wire::record::authority::HolderId {
+        instance: "a".into(),
+        incarnation: Incarnation(1),
+    };
+    let duty = marigoldlock_wire::record::authority::Duty::Orders {
+        data_centre: "pest-a".into(),
+    };
+    let mut desk = OrderDesk::new(me, OrderTiming::default());
+    let body = |action| OrderBody::Engine {
+        upstream: "e1".into(),
+        checks_fence: true,
+        action,
+    };
+    desk.wish(duty.clone(), body(EngineAction::Drain));
+    desk.wish(duty, body(EngineAction::Undrain));
+    assert_eq!(desk.wishes(), 1);
+}
--- /dev/null
+++ b/marigoldlock_core/src/usage/desk.rs
@@ -0,0 +1,235 @@
+//! What one process freezes and reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use marigoldlock_wire::platform::UsageFigure;
+use marigoldlock_wire::record::authority::{Duty, HolderId};
+use marigoldlock_wire::record::usage::UsageRecord;
+
+use super::{UsageCounts, UsageLedger, add_figures, shard_of};
+use crate::authority::Fault;
+use crate::orders::AuthorityView;
+use crate::prelude::*;
+
+/// Durations of the usage duty.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct UsageTiming {
+    /// Wait before a failed report is repeated.
+    pub retry_after: Duration,
+    /// Longest time from the write of a report to its arrival.
+    pub order_lifetime: Duration,
+}
+
+impl Default for UsageTiming {
+    fn default() -> Self {
+        Self {
+            retry_after: Duration::from_secs(1),
+            order_lifetime: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A report to put on the wire.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct SendReport {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The window.
+    pub window: u64,
+    /// The frozen figure.
+    pub figure: UsageFigure,
+    /// Epoch of the reporter.
+    pub epoch: Epoch,
+    /// The write happens before this moment or not at all; check and write are one step.
+    pub not_after: MonoTime,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum ReportProgress {
+    Sent,
+    Lost { retry_at: MonoTime, quiet_at: MonoTime },
+    Taken,
+}
+
+/// The part of one process in the usage duties.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct UsageDesk {
+    me: HolderId,
+    timing: UsageTiming,
+    counts: UsageCounts,
+    progress: BTreeMap<(CustomerId, u64), ReportProgress>,
+    fault: Option<Fault>,
+}
+
+impl UsageDesk {
+    /// A desk without counts.
+    pub fn new(me: HolderId, timing: UsageTiming) -> Self {
+        let counts = UsageCounts::new(me.clone());
+        Self {
+            me,
+            timing,
+            counts,
+            progress: BTreeMap::new(),
+            fault: None,
+        }
+    }
+
+    /// Leaves a rule out, for the model check.
+    pub fn with_fault(self, fault: Option<Fault>) -> Self {
+        Self { fault, ..self }
+    }
+
+    /// The counts.
+    pub fn counts(&self) -> &UsageCounts {
+        &self.counts
+    }
+
+    /// The counts, to add to.
+    pub fn counts_mut(&mut self) -> &mut UsageCounts {
+        &mut self.counts
+    }
+
+    /// Takes note of the ledger after an append was folded.
+    pub fn observe(&mut self, ledger: &UsageLedger) {
+        self.progress
+            .retain(|(customer, window), _| ledger.frozen(customer, *window).is_some());
+        self.counts.prune(ledger);
+    }
+
+    /// Records to append now; windows before `open` are over.
+    pub fn due_records(
+        &self,
+        ledger: &UsageLedger,
+        view: &impl AuthorityView,
+        open: u64,
+    ) -> Vec<UsageRecord> {
+        let reported = self
+            .progress
+            .iter()
+            .filter(|((customer, window), progress)| {
+                **progress == ReportProgress::Taken && ledger.frozen(customer, *window).is_some()
+            })
+            .map(|((customer, window), _)| UsageRecord::Reported {
+                customer: customer.clone(),
+                window: *window,
+            });
+        let freezes = self.due_freezes(ledger, view, open);
+        reported.chain(freezes).collect()
+    }
+
+    fn due_freezes(
+        &self,
+        ledger: &UsageLedger,
+        view: &impl AuthorityView,
+        open: u64,
+    ) -> impl Iterator<Item = UsageRecord> {
+        self.counts
+            .due(ledger, open)
+            .into_iter()
+            .filter(|(customer, (window, _))| ledger.last_frozen(customer).is_none_or(|last| last < *window))
+            .filter_map(|(customer, (window, counts))| {
+                let duty = Duty::Usage {
+                    shard: shard_of(&customer),
+                };
+                let epoch = view.authority(&duty)?.epoch;
+                Some(UsageRecord::Freeze {
+                    customer,
+                    window,
+                    epoch,
+                    counts,
+                })
+            })
+    }
+
+    /// Reports to send now. The caller tells what became of each.
+    pub fn due_reports(
+        &mut self,
+        ledger: &UsageLedger,
+        view: &impl AuthorityView,
+        open: u64,
+        now: MonoTime,
+    ) -> Vec<SendReport> {
+        let mut reports = Vec::new();
+        for ((customer, window), frozen) in ledger.unreported() {
+            let may_send =
+                frozen.sender.as_ref() == Some(&self.me) || self.fault == Some(Fault::IgnoreSender);
+            let Some(authority) = view.authority(&frozen.duty).filter(|_| may_send) else {
+                continue;
+            };
+            let key = (customer.clone(), *window);
+            let is_due = match self.progress.get(&key) {
+                None => true,
+                Some(ReportProgress::Lost { retry_at, .. }) => now >= *retry_at,
+                Some(ReportProgress::Sent | ReportProgress::Taken) => false,
+            };
+            if !is_due {
+                continue;
+            }
+            self.progress.insert(key, ReportProgress::Sent);
+            reports.push(SendReport {
+                customer: customer.clone(),
+                window: *window,
+                figure: frozen.figure,
+                epoch: authority.epoch,
+                not_after: authority.until,
+            });
+        }
+        if self.fault == Some(Fault::ReportBeforeFreeze) {
+            reports.extend(self.unfrozen_reports(ledger, view, open));
+        }
+        reports
+    }
+
+    fn unfrozen_reports(
+        &self,
+        ledger: &UsageLedger,
+        view: &impl AuthorityView,
+        open: u64,
+    ) -> Vec<SendReport> {
+        self.counts
+            .due(ledger, open)
+            .into_iter()
+            .filter_map(|(customer, (window, counts))| {
+                let duty = Duty::Usage {
+                    shard: shard_of(&customer),
+                };
+                let authority = view.authority(&duty)?;
+                let figure = counts.iter().fold(UsageFigure::default(), |sum, count| {
+                    add_figures(sum, count.figure)
+                });
+                Some(SendReport {
+                    customer,
+                    window,
+                    figure,
+                    epoch: authority.epoch,
+                    not_after: authority.until,
+                })
+            })
+            .collect()
+    }
+
+    /// The platform took the report.
+    pub fn report_taken(&mut self, customer: &CustomerId, window: u64) {
+        self.progress
+            .insert((customer.clone(), window), ReportProgress::Taken);
+    }
+
+    /// The report's answer was lost, or it was not sent.
+    pub fn report_lost(&mut self, customer: &CustomerId, window: u64, now: MonoTime) {
+        let lost = ReportProgress::Lost {
+            retry_at: now + self.timing.retry_after,
+            quiet_at: now + self.timing.order_lifetime,
+        };
+        self.progress.insert((customer.clone(), window), lost);
+    }
+
+    /// Whether a write of the process for the window may still be under way.
+    pub fn may_be_sending(&self, customer: &CustomerId, window: u64, now: MonoTime) -> bool {
+        match self.progress.get(&(customer.clone(), window)) {
+            Some(ReportProgress::Sent) => true,
+            Some(ReportProgress::Lost { quiet_at, .. }) => now < *quiet_at,
+            Some(ReportProgress::Taken) | None => false,
+        }
+    }
+}
--- a/marigoldlock_wire/src/record.rs
+++ b/marigoldlock_wire/src/record.rs
@@ -28,7 +28,7 @@
 pub const JOBS_STREAM: &str = "jobs";
 
 /// What one append holds.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Envelope<R> {
     /// The same for each repeat of the append.
     pub id: RecordId,
