--- a/marigoldlock_core/src/routing/health.rs
+++ b/marigoldlock_core/src/routing/health.rs
@@ -78,6 +78,9 @@
     /// Notes a failure; `may_eject` is false when too many are ejected already.
     pub(super) fn on_failure(&mut self, may_eject: bool, params: &RouteParams, now: MonoTime) {
         self.failures += 1;
+        if self.is_ejected() {
+            return;
+        }
         let relapsed = matches!(self.standing, Standing::Probation { .. });
         if !relapsed && self.failures < params.failures_to_eject {
             return;
