Fold checked settings by path and judge their freshness

Change: settings::SettingsFold, ActiveSettings and their checks; keys::KeyHash, FreshnessRule. The version is the position after the last record folded, so that offset 0 is not taken for 'nothing folded'.

--- /dev/null
+++ b/marigoldlock_core/src/keys/tests.rs
@@ -0,0 +1,169 @@
+//! Tests of keys and of the freshness rule.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use crate::keys::*;
+use crate::prelude::*;
+
+fn seeded(seed: u64) -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+const ALONE: OutageView = OutageView {
+    listed: 8,
+    confirming: 1,
+    denying: 0,
+};
+const ALL_CONFIRM: OutageView = OutageView {
+    listed: 8,
+    confirming: 5,
+    denying: 0,
+};
+
+fn at(seconds: u64) -> MonoTime {
+    MonoTime::from_millis(seconds * 1_000)
+}
+
+fn stale() -> FreshnessVerdict {
+    FreshnessVerdict::Refuse(ResultCode::SettingsStale)
+}
+
+#[test]
+fn key_is_read_from_the_header_only_when_well_formed() {
+    assert_eq!(bearer_token("Bearer mgl_ab"), Some("mgl_ab"));
+    assert_eq!(bearer_token("bearer  mgl_ab "), Some("mgl_ab"));
+    for header in [
+        "",
+        "Bearer",
+        "Bearer ",
+        "Basic mgl_ab",
+        "Bearer a b",
+        "Bearer \u{e9}",
+    ] {
+        assert_eq!(bearer_token(header), None, "{header:?}");
+    }
+    assert_eq!(bearer_token(&format!("Bearer {}", "a".repeat(4_096))), None);
+}
+
+#[test]
+fn generated_key_is_prefixed_and_hash_survives_its_text() {
+    let key = generate_key(&[7; KEY_BYTES]);
+    assert_eq!(key.len(), KEY_PREFIX.len() + 2 * KEY_BYTES);
+    assert!(key.starts_with(KEY_PREFIX));
+    let hash = hash_key(&key);
+    assert_eq!(hash.to_string().parse(), Ok(hash));
+    assert_ne!(hash, hash_key(&generate_key(&[8; KEY_BYTES])));
+    assert_eq!("12".parse::<KeyHash>(), Err(HashFormatError));
+}
+
+#[test]
+fn instance_without_evidence_is_not_ready() {
+    let verdict = FreshnessRule::default().verdict(at(1), &SettingsEvidence::default(), &ALL_CONFIRM);
+    assert_eq!(verdict, FreshnessVerdict::Refuse(ResultCode::NotReady));
+}
+
+#[test]
+fn cut_off_instance_refuses_after_five_seconds() {
+    let rule = FreshnessRule::default();
+    let mut evidence = SettingsEvidence::default();
+    evidence.note_log_read(at(100));
+    assert_eq!(rule.verdict(at(105), &evidence, &ALONE), FreshnessVerdict::Serve);
+    assert_eq!(rule.verdict(at(106), &evidence, &ALONE), stale());
+}
+
+#[test]
+fn confirmed_outage_extends_the_bound_to_two_hours() {
+    let rule = FreshnessRule::default();
+    let mut evidence = SettingsEvidence::default();
+    evidence.note_log_read(at(100));
+    assert_eq!(
+        rule.verdict(at(7_300), &evidence, &ALL_CONFIRM),
+        FreshnessVerdict::Serve
+    );
+    assert_eq!(rule.verdict(at(7_301), &evidence, &ALL_CONFIRM), stale());
+}
+
+#[test]
+fn outage_needs_more_than_half_and_no_denial() {
+    let view = |listed, confirming, denying| {
+        OutageView {
+            listed,
+            confirming,
+            denying,
+        }
+        .is_confirmed()
+    };
+    assert!(view(8, 5, 0));
+    assert!(!view(8, 4, 0));
+    assert!(!view(8, 7, 1));
+    assert!(!view(2, 1, 0));
+    assert!(view(1, 1, 0));
+    assert!(!view(0, 0, 0));
+}
+
+#[test]
+fn peer_counts_only_for_versions_already_folded() {
+    let mut evidence = SettingsEvidence::default();
+    evidence.note_peer(at(10), Duration::from_secs(1), LogPosition(7), LogPosition(6));
+    assert_eq!(evidence.age(at(10)), None);
+    evidence.note_peer(at(10), Duration::from_secs(1), LogPosition(7), LogPosition(7));
+    assert_eq!(evidence.age(at(12)), Some(Duration::from_secs(3)));
+}
+
+#[test]
+fn evidence_may_be_older_than_the_machine() {
+    let mut evidence = SettingsEvidence::default();
+    evidence.note_peer(at(10), Duration::from_secs(2_400), LogPosition(0), LogPosition(0));
+    assert_eq!(evidence.age(at(10)), Some(Duration::from_secs(2_400)));
+    assert_eq!(
+        FreshnessRule::default().verdict(at(10), &evidence, &ALONE),
+        stale()
+    );
+    assert_eq!(
+        FreshnessRule::default().verdict(at(10), &evidence, &ALL_CONFIRM),
+        FreshnessVerdict::Serve
+    );
+}
+
+proptest! {
+    #![proptest_config(seeded(11))]
+
+    /// However the news arrive, the evidence is never younger than the youngest piece of it.
+    #[test]
+    fn evidence_is_as_old_as_its_newest_piece(
+        pieces in prop::collection::vec((0u64..100, 0u64..100), 1..20),
+        later in 0u64..100,
+    ) {
+        let mut evidence = SettingsEvidence::default();
+        for (sent, age) in &pieces {
+            evidence.note_peer(at(*sent), Duration::from_secs(*age), LogPosition(0), LogPosition(0));
+        }
+        let newest = pieces.iter().map(|(sent, age)| *sent as i64 - *age as i64).max().unwrap();
+        let expected = Duration::from_secs((100 + later as i64 - newest) as u64);
+        prop_assert_eq!(evidence.age(at(100 + later)), Some(expected));
+    }
+
+    /// A chain of peers that vouch for each other with no log read ages in real time.
+    #[test]
+    fn mutual_vouching_does_not_renew_evidence(gaps in prop::collection::vec(1u64..3, 1..30)) {
+        let mut first = SettingsEvidence::default();
+        let mut second = SettingsEvidence::default();
+        first.note_log_read(at(0));
+        let mut now = 0;
+        for gap in gaps {
+            now += gap;
+            let age = first.age(at(now)).unwrap();
+            second.note_peer(at(now), age, LogPosition(0), LogPosition(0));
+            let age = second.age(at(now)).unwrap();
+            first.note_peer(at(now), age, LogPosition(0), LogPosition(0));
+        }
+        prop_assert_eq!(first.age(at(now)), Some(Duration::from_secs(now)));
+    }
+}
--- /dev/null
+++ b/marigoldlock_core/src/settings/tests.rs
@@ -0,0 +1,361 @@
+//! Tests of the settings fold.
+
+use marigoldlock_wire::record::Envelope;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use crate::keys::hash_key;
+use crate::prelude::*;
+use crate::settings::*;
+
+fn seeded(seed: u64) -> Config {
+    Config {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn change(path: &str, body: &str) -> SettingsChange {
+    SettingsChange {
+        path: path.into(),
+        body: Some(body.into()),
+        expect: None,
+        author: "test".into(),
+    }
+}
+
+fn removal(path: &str) -> SettingsChange {
+    SettingsChange {
+        path: path.into(),
+        body: None,
+        expect: None,
+        author: "test".into(),
+    }
+}
+
+fn envelope(id: u128, records: Vec<SettingsChange>) -> Envelope<SettingsChange> {
+    Envelope {
+        id: RecordId(id),
+        writer: "ctl".into(),
+        incarnation: Incarnation(1),
+        records,
+    }
+}
+
+fn customer_with_key(weight: u32, key: &str) -> String {
+    let hash = hash_key(key);
+    format!("[customers.acme]\nweight = {weight}\n[keys.k1]\nhash = \"{hash}\"\ncustomer = \"acme\"\n")
+}
+
+fn weight(fold: &SettingsFold) -> f64 {
+    fold.active().customer("acme").unwrap().weight
+}
+
+#[test]
+fn removed_and_withdrawn_keys_stop_working() {
+    let mut fold = SettingsFold::new();
+    fold.apply(
+        LogPosition(0),
+        &change("teams/a", &customer_with_key(1, "secret")),
+    )
+    .unwrap();
+    let hash = hash_key("secret");
+    assert_eq!(fold.active().authenticate(&hash).unwrap().name.as_str(), "acme");
+    fold.apply(
+        LogPosition(1),
+        &change("teams/a/keys/k1/withdrawn", "value = true"),
+    )
+    .unwrap();
+    assert_eq!(fold.active().authenticate(&hash), Err(ResultCode::WithdrawnKey));
+    fold.apply(LogPosition(2), &removal("teams/a/keys/k1")).unwrap();
+    assert_eq!(fold.active().authenticate(&hash), Err(ResultCode::UnknownKey));
+}
+
+#[test]
+fn settings_held_by_a_request_do_not_change_under_it() {
+    let mut fold = SettingsFold::new();
+    fold.apply(
+        LogPosition(0),
+        &change("teams/a", &customer_with_key(1, "secret")),
+    )
+    .unwrap();
+    let before = fold.active();
+    fold.apply(
+        LogPosition(1),
+        &change("teams/a/customers/acme/weight", "value = 2"),
+    )
+    .unwrap();
+    assert_eq!(before.customer("acme").unwrap().weight, 1.0);
+    assert_eq!(weight(&fold), 2.0);
+}
+
+#[test]
+fn duplicate_envelope_does_not_bring_an_old_value_back() {
+    let mut fold = SettingsFold::new();
+    let first = envelope(1, vec![change("teams/a", &customer_with_key(1, "secret"))]);
+    let second = envelope(2, vec![change("teams/a/customers/acme/weight", "value = 2")]);
+    fold.apply_envelope(0, &first);
+    fold.apply_envelope(1, &second);
+    assert_eq!(fold.apply_envelope(2, &first), FoldOutcome::Duplicate);
+    assert_eq!(weight(&fold), 2.0);
+    assert_eq!(fold.version(), LogPosition::new(3, 0));
+}
+
+#[test]
+fn earlier_position_changes_nothing() {
+    let mut fold = SettingsFold::new();
+    fold.apply_envelope(
+        5,
+        &envelope(1, vec![change("teams/a", &customer_with_key(2, "secret"))]),
+    );
+    let stale = envelope(2, vec![change("teams/a/customers/acme/weight", "value = 9")]);
+    assert_eq!(fold.apply_envelope(4, &stale), FoldOutcome::Duplicate);
+    let refused = fold.apply(LogPosition::new(4, 0), &stale.records[0]).unwrap_err();
+    assert!(matches!(refused.reason, RejectionReason::OutOfOrder { .. }));
+    assert_eq!(weight(&fold), 2.0);
+    assert_eq!(fold.version(), LogPosition::new(6, 0));
+}
+
+#[test]
+fn the_first_of_two_racing_changes_wins() {
+    let mut fold = SettingsFold::new();
+    let seen = fold.version();
+    let racing = |weight| SettingsChange {
+        expect: Some(seen),
+        ..change("teams/a", &customer_with_key(weight, "secret"))
+    };
+    fold.apply(LogPosition(0), &racing(1)).unwrap();
+    let refused = fold.apply(LogPosition(1), &racing(2)).unwrap_err();
+    assert_eq!(refused.code(), ResultCode::VersionConflict);
+    assert_eq!(weight(&fold), 1.0);
+}
+
+#[test]
+fn expect_conflicts_only_at_above_or_under_the_path() {
+    let mut fold = SettingsFold::new();
+    fold.apply(
+        LogPosition(0),
+        &change("teams/a", &customer_with_key(1, "secret")),
+    )
+    .unwrap();
+    let seen = fold.version();
+    fold.apply(
+        LogPosition(1),
+        &change("teams/a/customers/acme/weight", "value = 2"),
+    )
+    .unwrap();
+    let with_expect = |path: &str, body: &str| SettingsChange {
+        expect: Some(seen),
+        ..change(path, body)
+    };
+    let beside = with_expect("teams/a/customers/acme/cheap_capacity", "value = true");
+    fold.apply(LogPosition(2), &beside).unwrap();
+    let above = with_expect("teams/a/customers/acme", "weight = 7");
+    assert_eq!(
+        fold.apply(LogPosition(3), &above).unwrap_err().code(),
+        ResultCode::VersionConflict
+    );
+    let same = with_expect("teams/a/customers/acme/weight", "value = 7");
+    assert_eq!(
+        fold.apply(LogPosition(4), &same).unwrap_err().code(),
+        ResultCode::VersionConflict
+    );
+    let other_team = with_expect("teams/b/customers/zeta", "");
+    fold.apply(LogPosition(5), &other_team).unwrap();
+}
+
+#[test]
+fn forgotten_changes_void_old_expectations() {
+    let mut fold = SettingsFold::new();
+    fold.apply(LogPosition(0), &change("teams/a/customers/acme", ""))
+        .unwrap();
+    let seen = fold.version();
+    fold.apply(
+        LogPosition(1),
+        &change("teams/a/customers/acme/weight", "value = 2"),
+    )
+    .unwrap();
+    for position in 2..1_200 {
+        let path = format!("teams/b/customers/c{position}");
+        fold.apply(LogPosition(position), &change(&path, "")).unwrap();
+    }
+    let late = SettingsChange {
+        expect: Some(seen),
+        ..change("teams/a/customers/acme/weight", "value = 3")
+    };
+    assert_eq!(
+        fold.apply(LogPosition(1_200), &late).unwrap_err().code(),
+        ResultCode::VersionConflict
+    );
+}
+
+#[test]
+fn service_of_another_team_needs_both_sides() {
+    let mut fold = SettingsFold::new();
+    fold.apply(
+        LogPosition(0),
+        &change("teams/a/services/shared", "kind = \"plain\""),
+    )
+    .unwrap();
+    fold.apply(
+        LogPosition(1),
+        &change("teams/b/customers/zeta", "services = [\"shared\"]"),
+    )
+    .unwrap();
+    let allowed = |fold: &SettingsFold| {
+        let active = fold.active();
+        active.allows(
+            active.customer("zeta").unwrap(),
+            active.service("shared").unwrap(),
+        )
+    };
+    assert!(!allowed(&fold));
+    fold.apply(
+        LogPosition(2),
+        &change("teams/a/services/shared/shared_with", "value = [\"b\"]"),
+    )
+    .unwrap();
+    assert!(allowed(&fold));
+    fold.apply(LogPosition(3), &removal("teams/b/customers/zeta/services"))
+        .unwrap();
+    assert!(!allowed(&fold));
+}
+
+#[test]
+fn cheap_capacity_needs_the_customer_and_a_rule() {
+    let mut fold = SettingsFold::new();
+    let body = "[services.lm]\nmodels = [\"m\"]\n[customers.acme]\ncheap_capacity = true\n[rules.night]\n\
+                data_centres = [\"pest-a\"]\n";
+    fold.apply(LogPosition(0), &change("teams/a", body)).unwrap();
+    let allowed = |fold: &SettingsFold, class, data_centre| {
+        let active = fold.active();
+        let service = active.service_for_model("m").unwrap();
+        active.allows_cheap(active.customer("acme").unwrap(), service, class, data_centre)
+    };
+    assert!(allowed(&fold, RequestClass::Long, "pest-a"));
+    assert!(!allowed(&fold, RequestClass::Interactive, "pest-a"));
+    assert!(!allowed(&fold, RequestClass::Long, "pest-b"));
+    fold.apply(LogPosition(1), &removal("teams/a/customers/acme/cheap_capacity"))
+        .unwrap();
+    assert!(!allowed(&fold, RequestClass::Long, "pest-a"));
+}
+
+#[test]
+fn unreadable_record_is_passed_over() {
+    let mut fold = SettingsFold::new();
+    fold.skip(0);
+    assert_eq!(fold.version(), LogPosition::new(1, 0));
+    fold.skip(0);
+    assert_eq!(fold.version(), LogPosition::new(1, 0));
+}
+
+/// Paths and bodies of which some are accepted and some are not, depending on what came before.
+fn any_change() -> impl Strategy<Value = SettingsChange> {
+    let path = prop::sample::select(vec![
+        "teams/a",
+        "teams/b",
+        "teams/a/customers",
+        "teams/a/customers/acme",
+        "teams/b/customers/acme",
+        "teams/a/customers/acme/weight",
+        "teams/a/services/lm",
+        "teams/b/services/lm",
+        "teams/a/keys/k1",
+        "teams/b/keys/k1",
+        "teams/a/rules/r",
+        "fleet",
+        "fleet/weights/cost",
+        "teams",
+        "nowhere/x",
+    ]);
+    let body = prop::option::weighted(
+        0.8,
+        prop::sample::select(vec![
+            "",
+            "value = 3",
+            "value = -1",
+            "weight = 2",
+            "models = [\"m\"]",
+            "kind = \"plain\"",
+            "bad = [",
+            "services = [\"lm\"]",
+            "[customers.acme]\n[services.lm]\nmodels = [\"m\"]",
+            "hash = \"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"\ncustomer = \"acme\"",
+        ]),
+    );
+    (path, body, prop::option::weighted(0.3, 0u64..40)).prop_map(|(path, body, expect)| SettingsChange {
+        path: path.into(),
+        body: body.map(str::to_owned),
+        expect: expect.map(|offset| LogPosition::new(offset, 0)),
+        author: "test".into(),
+    })
+}
+
+fn snapshot(fold: &SettingsFold) -> String {
+    let active = fold.active();
+    format!("{:?} {:?}", active.fleet(), active.teams().collect::<Vec<_>>())
+}
+
+proptest! {
+    #![proptest_config(seeded(12))]
+
+    /// A refused change leaves the settings as they were, and the check before publishing agrees with the fold.
+    #[test]
+    fn refused_change_leaves_no_trace(changes in prop::collection::vec(any_change(), 1..40)) {
+        let mut fold = SettingsFold::new();
+        for (offset, change) in changes.iter().enumerate() {
+            let before = snapshot(&fold);
+            let checked = fold.check(change);
+            let applied = fold.apply(LogPosition::new(offset as u64, 0), change);
+            prop_assert_eq!(checked.is_ok(), applied.is_ok());
+            if applied.is_err() {
+                prop_assert_eq!(before, snapshot(&fold));
+            }
+        }
+    }
+
+    /// Reading any part of the log again, or an append twice, ends in the same settings.
+    #[test]
+    fn rereading_changes_nothing(
+        changes in prop::collection::vec(any_change(), 1..30),
+        reread in prop::collection::vec((0usize..30, 0usize..30), 0..6),
+    ) {
+        let envelopes: Vec<_> =
+            changes.into_iter().enumerate().map(|(id, change)| envelope(id as u128, vec![change])).collect();
+        let mut straight = SettingsFold::new();
+        for (offset, envelope) in envelopes.iter().enumerate() {
+            straight.apply_envelope(offset as u64, envelope);
+        }
+        let mut wandering = SettingsFold::new();
+        let mut version = wandering.version();
+        for (from, until) in reread.into_iter().chain([(0, envelopes.len())]) {
+            let from = from.min(wandering.version().offset() as usize);
+            for (offset, envelope) in envelopes.iter().enumerate().take(until).skip(from) {
+                wandering.apply_envelope(offset as u64, envelope);
+                prop_assert!(wandering.version() >= version);
+                version = wandering.version();
+            }
+        }
+        prop_assert_eq!(snapshot(&straight), snapshot(&wandering));
+        prop_assert_eq!(straight.version(), wandering.version());
+    }
+
+    /// Reusing unchanged items gives the same settings as publishing the resulting tree at once.
+    #[test]
+    fn steps_and_whole_tree_agree(changes in prop::collection::vec(any_change(), 1..40)) {
+        let mut fold = SettingsFold::new();
+        for (offset, change) in changes.iter().enumerate() {
+            let _ = fold.apply(LogPosition::new(offset as u64, 0), change);
+        }
+        let mut whole = SettingsFold::new();
+        for (position, root) in ["fleet", "teams/a", "teams/b"].iter().enumerate() {
+            if let Some(value) = fold.value(&root.parse().unwrap()) {
+                let body = toml::to_string(&value).unwrap();
+                whole.apply(LogPosition(position as u64), &change(root, &body)).unwrap();
+            }
+        }
+        prop_assert_eq!(snapshot(&fold), snapshot(&whole));
+    }
+}
