Join the lagging list with heartbeats

Cause: the list lags and heartbeats stop at a pause or a partition; either alone misjudges a member.

--- a/marigoldlock_wire/src/peer.rs
+++ b/marigoldlock_wire/src/peer.rs
@@ -68,6 +68,23 @@
     pub counters: Vec<CustomerCounter>,
     /// Usage counted by the sender and not yet known to be frozen.
     pub usage: Vec<UsageShare>,
+    /// When the sender started, in milliseconds since the Unix epoch; orders the starts of one instance.
+    pub started_ms: u64,
+    /// Peers that the sender has heard lately.
+    pub hears: Vec<HeardPeer>,
+    /// Position up to which the sender has read the calls stream.
+    pub calls_position: LogPosition,
+}
+
+/// A peer that the sender of a heartbeat has heard lately.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeardPeer {
+    /// The peer.
+    pub instance: InstanceId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// True if the peer takes requests and does not leave.
+    pub usable: bool,
 }
 
 /// What one instance has in flight at an upstream.
