--- a/marigoldlock_core/src/admission/service.rs
+++ b/marigoldlock_core/src/admission/service.rs
@@ -119,9 +119,9 @@
         let fade = if age > 0.0 { 0.5f64.powf(age) } else { 1.0 };
         self.peaks_set = now;
         let own = self.own_active();
-        for class in 0..3 {
+        for (class, peak) in self.peaks.iter_mut().enumerate() {
             let demand = f64::from(own[class] + self.peers_active[class]);
-            self.peaks[class] = (self.peaks[class] * fade).max(demand);
+            *peak = (*peak * fade).max(demand);
         }
     }
 
