--- /dev/null
+++ b/marigoldlock/src/calls/runner.rs
@@ -0,0 +1,181 @@
+//! Running a call at a plain service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Method};
+use bytes::Bytes;
+use log::info;
+use marigoldlock_core::admission::FinishedWork;
+use marigoldlock_core::calls::CallOutcome;
+use marigoldlock_core::relay::{AttemptId, FailureKind};
+use marigoldlock_core::routing::AttemptOutcome;
+use marigoldlock_core::time::MonoTime;
+use marigoldlock_wire::peer::CallAnswer;
+use marigoldlock_wire::prelude::*;
+
+use crate::clock::TimeSource;
+use crate::dispatch::{AttemptLease, CustomerTerms, DispatchHandle, WorkItem};
+use crate::logging::DECISION_TARGET;
+use crate::upstream::{UpstreamCall, UpstreamClient};
+
+/// Largest answer that is read, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// Attempts to reach an upstream before the call is refused.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Time to come back after no upstream could be reached.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Call to a plain service.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// What routing needs to know.
+    pub work: Arc<WorkItem>,
+    /// Share and limits of the customer.
+    pub terms: CustomerTerms,
+    /// Time for the whole answer.
+    pub patience: Duration,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query at the service.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Runs calls that may not be repeated.
+#[derive(Clone)]
+pub struct CallRunner {
+    /// Way to the dispatch actor.
+    pub dispatch: DispatchHandle,
+    /// Clients towards upstreams.
+    pub upstreams: UpstreamClient,
+    /// Clock of the instance.
+    pub clock: Arc<dyn TimeSource>,
+}
+
+impl CallRunner {
+    /// Runs a call at most once.
+    ///
+    /// Another upstream is tried only if no byte left for the last one.
+    pub async fn run(&self, call: &CallRequest) -> (CallAnswer, CallOutcome) {
+        let deadline = self.clock.now() + call.patience;
+        let permit = match self.dispatch.admit(&call.work, call.terms, deadline).await {
+            Ok(permit) => permit,
+            Err(refusal) => return not_run(refusal.code, refusal.retry_after),
+        };
+        let mut tried = Vec::new();
+        for number in 1..=MAX_ATTEMPTS {
+            let attempt = AttemptId(number);
+            let lease = match self.dispatch.choose(&call.work, attempt, &tried).await {
+                Ok(lease) => lease,
+                Err(refusal) => return not_run(refusal.code(), RETRY_AFTER),
+            };
+            tried.push(lease.decision().upstream.clone());
+            match self.attempt(call, &lease, attempt, deadline).await {
+                Ok(answer) => {
+                    lease.first_token();
+                    lease.close(AttemptOutcome::Answered);
+                    permit.close(FinishedWork::default());
+                    return (answer.clone(), CallOutcome::Answered(Arc::new(answer)));
+                }
+                Err(FailureKind::NotConnected) => lease.close(AttemptOutcome::Broken),
+                Err(kind) => {
+                    info!(
+                        target: DECISION_TARGET,
+                        request:% = call.work.request, upstream:% = lease.decision().upstream, failure:? = kind;
+                        "call outcome unknown"
+                    );
+                    lease.close(attempt_outcome(kind));
+                    permit.close(FinishedWork::default());
+                    return (failed(ResultCode::OutcomeUnknown, None), CallOutcome::Unknown);
+                }
+            }
+        }
+        not_run(ResultCode::NoUpstream, RETRY_AFTER)
+    }
+
+    async fn attempt(
+        &self,
+        call: &CallRequest,
+        lease: &AttemptLease,
+        attempt: AttemptId,
+        deadline: MonoTime,
+    ) -> Result<CallAnswer, FailureKind> {
+        let sent = self.upstreams.send_once(UpstreamCall {
+            address: &lease.decision().address,
+            method: &call.method,
+            path: &call.path,
+            headers: &call.headers,
+            body: call.body.clone(),
+            request: call.work.request,
+            attempt,
+        });
+        let read = async { read_answer(sent.await?).await };
+        let wait = deadline.since(self.clock.now());
+        tokio::time::timeout(wait, read)
+            .await
+            .unwrap_or(Err(FailureKind::TimedOut))
+    }
+}
+
+fn attempt_outcome(kind: FailureKind) -> AttemptOutcome {
+    match kind {
+        FailureKind::TimedOut => AttemptOutcome::TimedOut,
+        _ => AttemptOutcome::Broken,
+    }
+}
+
+async fn read_answer(mut response: reqwest::Response) -> Result<CallAnswer, FailureKind> {
+    let status = response.status().as_u16();
+    let headers = wire_headers(&crate::front::end_to_end(response.headers()));
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(|_| FailureKind::Broken)? {
+        if body.len() + chunk.len() > ANSWER_BYTES {
+            return Err(FailureKind::Broken);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(CallAnswer::Answered {
+        status,
+        headers,
+        body: body.into(),
+    })
+}
+
+fn not_run(code: ResultCode, retry_after: Duration) -> (CallAnswer, CallOutcome) {
+    (failed(code, Some(retry_after)), CallOutcome::NotRun)
+}
+
+/// An answer that tells a result code.
+pub(crate) fn failed(code: ResultCode, retry_after: Option<Duration>) -> CallAnswer {
+    let retry_after_ms = retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    CallAnswer::Failed { code, retry_after_ms }
+}
+
+/// Headers as they travel between instances.
+pub(crate) fn wire_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
+
+/// Headers as they came from another instance; what is no header is left out.
+pub(crate) fn http_headers(headers: &[(String, Bytes)]) -> HeaderMap {
+    let pairs = headers.iter().filter_map(|(name, value)| {
+        Some((
+            name.parse::<HeaderName>().ok()?,
+            HeaderValue::from_bytes(value).ok()?,
+        ))
+    });
+    let mut map = HeaderMap::new();
+    for (name, value) in pairs {
+        map.append(name, value);
+    }
+    map
+}
--- /dev/null
+++ b/marigoldlock/src/dispatch/admit.rs
@@ -0,0 +1,248 @@
+//! Waiting for one's turn.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::message::{Context, Message};
+use kameo::reply::{DelegatedReply, ReplySender};
+use log::info;
+use marigoldlock_core::admission::{
+    AdmissionAsk, AdmissionEvent, AdmissionVerdict, CustomerLimits, FinishedWork,
+};
+use marigoldlock_core::routing::{RouteParams, UpstreamState};
+use marigoldlock_core::time::MonoTime;
+use marigoldlock_wire::prelude::*;
+use thiserror::Error;
+
+use super::actor::DispatchActor;
+use super::lease::DispatchHandle;
+use super::work::WorkItem;
+use crate::logging::DECISION_TARGET;
+
+/// Customer that all requests on open routes count for.
+const OPEN_CUSTOMER: &str = "(open)";
+
+/// Time to come back when a service has no upstream.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
+
+/// Why a request was not admitted.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("{code}, retry after {retry_after:?}")]
+pub struct AdmissionRefusal {
+    /// Code for the caller.
+    pub code: ResultCode,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+type AdmitResult = Result<(), AdmissionRefusal>;
+
+/// Where the answer to a waiting request goes.
+pub(super) type AdmitReply = ReplySender<AdmitResult>;
+
+/// Share and limits of a customer, from the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerTerms {
+    /// Weight against other customers.
+    pub weight: u32,
+    /// Limits over the fleet.
+    pub limits: CustomerLimits,
+}
+
+/// Asks to be run.
+pub(super) struct Admit {
+    /// The request.
+    pub work: Arc<WorkItem>,
+    /// Whose terms hold.
+    pub terms: CustomerTerms,
+    /// When the whole answer must be there.
+    pub deadline: MonoTime,
+}
+
+impl Message<Admit> for DispatchActor {
+    type Reply = DelegatedReply<AdmitResult>;
+
+    async fn handle(&mut self, admit: Admit, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let verdict = self.offer(&admit);
+        log_admission(&admit, verdict);
+        let reply = match verdict {
+            AdmissionVerdict::Start => ctx.reply(Ok(())),
+            AdmissionVerdict::Refused { code, retry_after } => {
+                ctx.reply(Err(AdmissionRefusal { code, retry_after }))
+            }
+            AdmissionVerdict::Queued => {
+                let (reply, sender) = ctx.reply_sender();
+                if let Some(sender) = sender {
+                    self.waiting.insert(admit.work.request, sender);
+                }
+                reply
+            }
+        };
+        self.deliver_admissions();
+        reply
+    }
+}
+
+impl DispatchActor {
+    fn offer(&mut self, admit: &Admit) -> AdmissionVerdict {
+        let work = &admit.work;
+        if !self
+            .table
+            .states()
+            .any(|state| state.facts().service == work.service)
+        {
+            return AdmissionVerdict::Refused {
+                code: ResultCode::NoUpstream,
+                retry_after: NO_UPSTREAM_RETRY,
+            };
+        }
+        let now = self.clock.now();
+        let open = CustomerId::from(OPEN_CUSTOMER);
+        let customer = work.customer.as_ref().unwrap_or(&open);
+        self.admission
+            .set_limits(&work.service, customer, admit.terms.limits, now);
+        self.admission.offer(&AdmissionAsk {
+            request: work.request,
+            customer,
+            service: &work.service,
+            class: work.class,
+            weight: admit.terms.weight,
+            prompt_tokens: work.prompt_tokens,
+            max_output_tokens: work.output_tokens,
+            deadline: admit.deadline,
+            now,
+        })
+    }
+
+    /// Answers the requests whose wait has ended.
+    pub(super) fn deliver_admissions(&mut self) {
+        for event in self.admission.take_ready() {
+            self.deliver(event);
+        }
+    }
+
+    fn deliver(&mut self, event: AdmissionEvent) {
+        let (request, result) = match event {
+            AdmissionEvent::Start { request } => (request, Ok(())),
+            AdmissionEvent::Refuse {
+                request,
+                code,
+                retry_after,
+            } => (request, Err(AdmissionRefusal { code, retry_after })),
+        };
+        info!(target: DECISION_TARGET, request:%, admitted = result.is_ok(); "wait ended");
+        match self.waiting.remove(&request) {
+            Some(sender) => sender.send(result),
+            None => self.admission.on_finished(request, None, self.clock.now()),
+        }
+    }
+
+    /// Tells admission how much each service can run.
+    pub(super) fn update_capacity(&mut self) {
+        let params = RouteParams::default();
+        let mut slots: FastMap<ServiceId, u32> = FastMap::default();
+        for state in self.table.states() {
+            *slots.entry(state.facts().service.clone()).or_default() += usable_slots(state, &params);
+        }
+        for (service, slots) in slots {
+            self.admission.set_capacity(&service, slots);
+        }
+    }
+}
+
+fn usable_slots(state: &UpstreamState, params: &RouteParams) -> u32 {
+    if state.is_leaving() || state.is_changing() {
+        0
+    } else {
+        state.slots(params)
+    }
+}
+
+fn log_admission(admit: &Admit, verdict: AdmissionVerdict) {
+    let work = &admit.work;
+    let (result, code) = match verdict {
+        AdmissionVerdict::Start => ("start", 0),
+        AdmissionVerdict::Queued => ("queued", 0),
+        AdmissionVerdict::Refused { code, .. } => ("refused", code.number()),
+    };
+    info!(
+        target: DECISION_TARGET,
+        request:% = work.request, customer = work.customer.as_ref().map_or("", CustomerId::as_str),
+        service:% = work.service, class:% = work.class, prompt_tokens = work.prompt_tokens, result, code;
+        "admission"
+    );
+}
+
+/// Tells that an admitted request has ended, or that its caller no longer waits.
+pub(super) struct FinishRequest {
+    /// The request.
+    pub request: RequestId,
+    /// What it took; `None` if it did not run to its end.
+    pub work: Option<FinishedWork>,
+}
+
+impl Message<FinishRequest> for DispatchActor {
+    type Reply = ();
+
+    async fn handle(&mut self, finish: FinishRequest, _: &mut Context<Self, ()>) {
+        if self.admission.cancel(finish.request) {
+            self.waiting.remove(&finish.request);
+        } else {
+            self.admission
+                .on_finished(finish.request, finish.work, self.clock.now());
+        }
+        self.deliver_admissions();
+    }
+}
+
+/// Lets time pass: refuses what can't be answered in time any more and forgets what is stale.
+pub struct Tick;
+
+impl Message<Tick> for DispatchActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.table.tick(now);
+        for event in self.admission.tick(now) {
+            self.deliver(event);
+        }
+    }
+}
+
+/// An admitted request; dropping it frees its place.
+pub struct AdmitPermit {
+    dispatch: DispatchHandle,
+    request: RequestId,
+    open: bool,
+}
+
+impl AdmitPermit {
+    pub(super) fn new(dispatch: DispatchHandle, request: RequestId) -> Self {
+        Self {
+            dispatch,
+            request,
+            open: true,
+        }
+    }
+
+    /// The request has ended.
+    pub fn close(mut self, work: FinishedWork) {
+        self.finish(Some(work));
+    }
+
+    fn finish(&mut self, work: Option<FinishedWork>) {
+        if std::mem::take(&mut self.open) {
+            self.dispatch.tell(FinishRequest {
+                request: self.request,
+                work,
+            });
+        }
+    }
+}
+
+impl Drop for AdmitPermit {
+    fn drop(&mut self) {
+        self.finish(None);
+    }
+}
--- /dev/null
+++ b/marigoldlock/src/front/mod.rs
@@ -0,0 +1,24 @@
+//! What callers and operators see.
+
+mod addresses;
+mod auth;
+mod body;
+mod chat;
+mod context;
+mod guarded_stream;
+mod headers;
+mod plain;
+mod probes;
+mod reject;
+mod router;
+mod server;
+mod session;
+mod target;
+
+pub use addresses::{AddressAnswer, AddressEntry};
+pub use context::{FrontContext, FrontLimits, FrontParts};
+pub(crate) use headers::end_to_end;
+pub use headers::{CLASS_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
+pub use reject::{CODE_HEADER, EXECUTION_HEADER, Rejection};
+pub use router::front_router;
+pub use server::{ConnectionLimits, FrontServer};
--- /dev/null
+++ b/marigoldlock/src/front/plain.rs
@@ -0,0 +1,274 @@
+//! Plain services, passed through by path.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, Method, StatusCode};
+use axum::response::Response;
+use bytes::Bytes;
+use futures::StreamExt;
+use log::info;
+use marigoldlock_core::admission::FinishedWork;
+use marigoldlock_core::calls::{CallKey, MAX_KEY_BYTES};
+use marigoldlock_core::relay::{AttemptId, FailureKind, ResendRule};
+use marigoldlock_core::routing::AttemptOutcome;
+use marigoldlock_core::settings::{ServiceKind, ServiceSettings};
+use marigoldlock_wire::peer::CallAnswer;
+use marigoldlock_wire::prelude::*;
+
+use super::auth::authorize;
+use super::body::{BodyLimits, read_body};
+use super::context::FrontContext;
+use super::headers::{IDEMPOTENCY_HEADER, end_to_end};
+use super::reject::{Rejection, set_request_id};
+use super::target::RequestTarget;
+use crate::calls::{CallRequest, http_headers};
+use crate::dispatch::{AttemptLease, WorkItem};
+use crate::logging::DECISION_TARGET;
+use crate::upstream::UpstreamCall;
+
+/// Attempts of a call that may be repeated.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Time to come back after every upstream failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// `/services/{service}` and `/services/{service}/{*path}`, any method.
+pub(super) async fn plain(
+    State(context): State<Arc<FrontContext>>,
+    Path(params): Path<Vec<(String, String)>>,
+    request: Request,
+) -> Response {
+    let id = context.new_request();
+    let service = params
+        .into_iter()
+        .next()
+        .map(|(_, service)| service)
+        .unwrap_or_default();
+    match serve(&context, id, &service, request).await {
+        Ok(mut response) => {
+            set_request_id(&mut response, id);
+            response
+        }
+        Err(rejection) => rejection.into_answer(id),
+    }
+}
+
+async fn serve(
+    context: &Arc<FrontContext>,
+    id: RequestId,
+    service: &str,
+    request: Request,
+) -> Result<Response, Rejection> {
+    let settings = context.serving_settings()?;
+    let service = settings
+        .service(service)
+        .filter(|service| service.kind == ServiceKind::Plain)
+        .ok_or_else(|| unknown_service(service))?;
+    let (parts, body) = request.into_parts();
+    let customer = authorize(&settings, service, &parts.headers)?;
+    let limit = usize::try_from(service.body_limit_bytes).unwrap_or(usize::MAX);
+    let limits = BodyLimits {
+        bytes: limit,
+        silence: context.limits.send_silence,
+    };
+    let body = read_body(body, &parts.headers, limits).await?;
+    let target = RequestTarget::new(
+        &settings,
+        Arc::clone(service),
+        customer,
+        &parts.headers,
+        &context.data_centre,
+    )?;
+    let call = call_request(id, &target, &parts, body);
+    if may_repeat(service, &parts.method) {
+        return repeatable(context, &call).await;
+    }
+    let key = idempotency_key(&parts.headers)?;
+    let answer = context.calls.call(&call, key).await;
+    into_response(answer)
+}
+
+fn unknown_service(name: &str) -> Rejection {
+    Rejection::with_message(
+        ResultCode::UnknownService,
+        format!("There is no plain service {name}."),
+    )
+}
+
+/// Reading is repeatable by its method, whatever the service.
+fn may_repeat(service: &ServiceSettings, method: &Method) -> bool {
+    service.is_repeatable() || method.is_safe()
+}
+
+fn call_request(id: RequestId, target: &RequestTarget, parts: &Parts, body: Bytes) -> CallRequest {
+    let work = WorkItem {
+        request: id,
+        customer: target.customer_id(),
+        service: target.service.name.clone(),
+        model: None,
+        class: target.class,
+        prefixes: Vec::new(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        cheap_allowed: target.cheap_allowed,
+        data_centres: target.data_centres(),
+    };
+    CallRequest {
+        work: Arc::new(work),
+        terms: target.terms(),
+        patience: target.patience,
+        method: parts.method.clone(),
+        path: upstream_path(parts, target.service.name.as_str()),
+        headers: end_to_end(&parts.headers),
+        body,
+    }
+}
+
+/// Path and query behind `/services/{service}`, as the caller wrote them.
+fn upstream_path(parts: &Parts, service: &str) -> String {
+    let whole = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let prefix = "/services/".len() + service.len();
+    let rest = whole.get(prefix..).unwrap_or_default();
+    if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<CallKey<'_>, Rejection> {
+    let value = headers
+        .get(IDEMPOTENCY_HEADER)
+        .ok_or_else(|| Rejection::new(ResultCode::MissingIdempotencyKey))?;
+    let invalid = || {
+        let message =
+            format!("An Idempotency-Key has 1 to {MAX_KEY_BYTES} printable ASCII characters, no spaces.");
+        Rejection::with_message(ResultCode::InvalidIdempotencyKey, message)
+    };
+    let text = value.to_str().map_err(|_| invalid())?;
+    if headers.get_all(IDEMPOTENCY_HEADER).iter().count() > 1 {
+        return Err(invalid());
+    }
+    CallKey::parse(text).map_err(|_| invalid())
+}
+
+/// The answer of a call, for the caller.
+///
+/// # Errors
+///
+/// A call that was refused or whose outcome is unknown is a rejection.
+pub(super) fn into_response(answer: CallAnswer) -> Result<Response, Rejection> {
+    match answer {
+        CallAnswer::Answered {
+            status,
+            headers,
+            body,
+        } => {
+            let mut response = Response::new(Body::from(body));
+            *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.headers_mut() = http_headers(&headers);
+            Ok(response)
+        }
+        CallAnswer::Failed { code, retry_after_ms } => {
+            let rejection = Rejection::new(code);
+            Err(match retry_after_ms {
+                Some(wait) => rejection.retry_after(Duration::from_millis(wait)),
+                None => rejection,
+            })
+        }
+    }
+}
+
+async fn repeatable(context: &Arc<FrontContext>, call: &CallRequest) -> Result<Response, Rejection> {
+    let deadline = context.now() + call.patience;
+    let admitted = context.dispatch.admit(&call.work, call.terms, deadline).await;
+    let permit = admitted.map_err(|refusal| Rejection::new(refusal.code).retry_after(refusal.retry_after))?;
+    let mut tried = Vec::new();
+    let mut may_have_run = false;
+    let mut last = ResultCode::NoUpstream;
+    for number in 1..=MAX_ATTEMPTS {
+        let attempt = AttemptId(number);
+        let lease = match context.dispatch.choose(&call.work, attempt, &tried).await {
+            Ok(lease) => lease,
+            Err(refusal) if tried.is_empty() => {
+                return Err(Rejection::new(refusal.code()).retry_after(RETRY_AFTER));
+            }
+            Err(_) => break,
+        };
+        tried.push(lease.decision().upstream.clone());
+        let wait = deadline.since(context.now());
+        let sent = context.upstreams.send_repeatable(UpstreamCall {
+            address: &lease.decision().address,
+            method: &call.method,
+            path: &call.path,
+            headers: &call.headers,
+            body: call.body.clone(),
+            request: call.work.request,
+            attempt,
+        });
+        let kind = match tokio::time::timeout(wait, sent).await {
+            Ok(Ok(response)) => {
+                context.with_budget(|budget| budget.on_success());
+                permit.close(FinishedWork::default());
+                return Ok(pass_through(lease, response));
+            }
+            Ok(Err(kind)) => kind,
+            Err(_) => FailureKind::TimedOut,
+        };
+        info!(
+            target: DECISION_TARGET,
+            request:% = call.work.request, upstream:% = lease.decision().upstream, failure:? = kind;
+            "attempt failed"
+        );
+        lease.close(match kind {
+            FailureKind::TimedOut => AttemptOutcome::TimedOut,
+            _ => AttemptOutcome::Broken,
+        });
+        may_have_run |= !kind.is_rejection();
+        last = kind.result_code();
+        let again = match kind.resend_rule(true) {
+            ResendRule::Free => true,
+            ResendRule::Budgeted => context.with_budget(|budget| budget.try_spend(context.now())),
+            ResendRule::Never => false,
+        };
+        if !again || context.now() >= deadline {
+            break;
+        }
+    }
+    let code = if may_have_run {
+        ResultCode::OutcomeUnknown
+    } else {
+        last
+    };
+    Err(Rejection::new(code).retry_after(RETRY_AFTER))
+}
+
+/// Passes an answer on as it comes; a body that breaks breaks for the caller too.
+fn pass_through(lease: AttemptLease, response: reqwest::Response) -> Response {
+    lease.first_token();
+    let status = response.status();
+    let headers = end_to_end(response.headers());
+    let body = response.bytes_stream();
+    let guarded = futures::stream::unfold(Some((body, lease)), |state| async {
+        let (mut body, lease) = state?;
+        match body.next().await {
+            Some(Ok(chunk)) => Some((Ok(chunk), Some((body, lease)))),
+            Some(Err(err)) => {
+                lease.close(AttemptOutcome::Broken);
+                Some((Err(err), None))
+            }
+            None => {
+                lease.close(AttemptOutcome::Answered);
+                None
+            }
+        }
+    });
+    let mut answer = Response::new(Body::from_stream(guarded));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
--- /dev/null
+++ b/marigoldlock/src/front/router.rs
@@ -0,0 +1,51 @@
+//! Routes of the front.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::{Request, State};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::Response;
+use axum::routing::{any, get, post};
+use marigoldlock_wire::prelude::*;
+
+use super::context::FrontContext;
+use super::reject::{Rejection, set_request_id};
+use super::{addresses, chat, plain, probes};
+
+/// All routes of an instance.
+pub fn front_router(context: Arc<FrontContext>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat::chat))
+        .route("/services/{service}", any(plain::plain))
+        .route("/services/{service}/", any(plain::plain))
+        .route("/services/{service}/{*path}", any(plain::plain))
+        .route("/v1/addresses", get(addresses::addresses))
+        .route("/healthz", get(probes::health))
+        .route("/readyz", get(probes::ready))
+        .route("/metrics", get(probes::metrics))
+        .fallback(unknown_route)
+        .method_not_allowed_fallback(wrong_method)
+        .layer(from_fn_with_state(Arc::clone(&context), mark_answer))
+        .with_state(context)
+}
+
+async fn unknown_route() -> Rejection {
+    Rejection::new(ResultCode::UnknownRoute)
+}
+
+async fn wrong_method() -> Rejection {
+    Rejection::new(ResultCode::MethodNotAllowed)
+}
+
+/// Gives every answer a request id; one without is the HTTP library's own.
+async fn mark_answer(State(context): State<Arc<FrontContext>>, request: Request, next: Next) -> Response {
+    let mut response = next.run(request).await;
+    if !response
+        .headers()
+        .contains_key(marigoldlock_wire::engine::REQUEST_ID_HEADER)
+    {
+        set_request_id(&mut response, context.new_request());
+    }
+    response
+}
--- /dev/null
+++ b/marigoldlock/src/front/session.rs
@@ -0,0 +1,437 @@
+//! One chat from admission to its last byte.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::{HeaderName, HeaderValue, Method, StatusCode};
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::BoxStream;
+use log::info;
+use marigoldlock_core::admission::FinishedWork;
+use marigoldlock_core::relay::{
+    Attempt, AttemptId, BreakStep, FailureKind, ProgressLimits, RelayLimits, RelayStep, StreamRelay,
+    StreamTotals, WholeBody,
+};
+use marigoldlock_core::routing::{AttemptOutcome, RouteRefusal};
+use marigoldlock_core::settings::ServiceSettings;
+use marigoldlock_core::time::MonoTime;
+use marigoldlock_wire::engine::{ChatUsage, PRIORITY_HEADER};
+use marigoldlock_wire::platform::UsageFigure;
+use marigoldlock_wire::prelude::*;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::chat::{ChatWork, with_field};
+use super::context::FrontContext;
+use super::reject::Rejection;
+use crate::dispatch::{AdmitPermit, AttemptLease};
+use crate::logging::DECISION_TARGET;
+use crate::upstream::{UpstreamCall, classify, head_echo};
+
+/// Path of chat completions at an engine.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Largest whole answer, in bytes.
+const WHOLE_ANSWER_BYTES: usize = 16 << 20;
+
+/// Time to come back after every upstream refused.
+const REFUSED_RETRY: Duration = Duration::from_secs(1);
+
+/// Blocks between two notes of progress to routing.
+const PROGRESS_BLOCKS: u32 = 64;
+
+/// Answer of an upstream that is being read.
+struct OpenAttempt {
+    id: AttemptId,
+    lease: AttemptLease,
+    body: BoxStream<'static, reqwest::Result<Bytes>>,
+    blocks: u32,
+}
+
+/// One chat of one caller.
+pub(super) struct ChatSession {
+    context: Arc<FrontContext>,
+    work: ChatWork,
+    permit: Option<AdmitPermit>,
+    relay: StreamRelay,
+    deadline: MonoTime,
+    open: Option<OpenAttempt>,
+    tried: Vec<UpstreamId>,
+    may_have_run: bool,
+    pending: Vec<Bytes>,
+    ended: bool,
+    billed: bool,
+}
+
+impl ChatSession {
+    /// Waits for the chat's turn.
+    pub(super) async fn start(context: Arc<FrontContext>, work: ChatWork) -> Result<Self, Rejection> {
+        let deadline = context.now() + work.target.patience;
+        let terms = work.target.terms();
+        let admitted = context.dispatch.admit(&work.item, terms, deadline).await;
+        let permit =
+            admitted.map_err(|refusal| Rejection::new(refusal.code).retry_after(refusal.retry_after))?;
+        let limits = relay_limits(&work.target.service);
+        let relay = StreamRelay::new(work.item.request, limits);
+        Ok(Self {
+            context,
+            work,
+            permit: Some(permit),
+            relay,
+            deadline,
+            open: None,
+            tried: Vec::new(),
+            may_have_run: false,
+            pending: Vec::new(),
+            ended: false,
+            billed: false,
+        })
+    }
+
+    /// The next bytes for the caller; `None` after the last.
+    pub(super) async fn next_block(&mut self) -> Result<Option<Bytes>, Rejection> {
+        loop {
+            if let Some(block) = self.take_pending() {
+                return Ok(Some(block));
+            }
+            if self.ended {
+                return Ok(None);
+            }
+            let step = match self.open.take() {
+                Some(open) => self.read(open).await,
+                None => self.open_attempt().await.err(),
+            };
+            if let Some(failure) = step {
+                self.recover(failure)?;
+            }
+        }
+    }
+
+    fn take_pending(&mut self) -> Option<Bytes> {
+        match self.pending.len() {
+            0 => None,
+            1 => self.pending.pop(),
+            _ => {
+                let joined = self.pending.concat().into();
+                self.pending.clear();
+                Some(joined)
+            }
+        }
+    }
+
+    /// Starts the next attempt.
+    async fn open_attempt(&mut self) -> Result<(), Failure> {
+        let attempt = self.relay.begin_attempt(self.context.now());
+        let lease = self.choose(attempt.id).await?;
+        let id = attempt.id;
+        let response = match self.send(&lease, attempt).await {
+            Ok(response) => response,
+            Err(kind) => return Err(self.failed(lease, id, kind)),
+        };
+        if let Some(kind) = refusal_kind(response.status()) {
+            return Err(self.failed(lease, id, kind));
+        }
+        let step = self
+            .relay
+            .on_head(id, head_echo(response.headers()), self.context.now());
+        if let RelayStep::Failed(kind) = step {
+            return Err(self.failed(lease, id, kind));
+        }
+        self.open = Some(OpenAttempt {
+            id,
+            lease,
+            body: response.bytes_stream().boxed(),
+            blocks: 0,
+        });
+        Ok(())
+    }
+
+    async fn choose(&mut self, id: AttemptId) -> Result<AttemptLease, Failure> {
+        let dispatch = &self.context.dispatch;
+        match dispatch.choose(&self.work.item, id, &self.tried).await {
+            Ok(lease) => Ok(lease),
+            // Those tried before may have recovered, and are better than none.
+            Err(RouteRefusal::NoneAllowed) if !self.tried.is_empty() => {
+                self.tried.clear();
+                dispatch
+                    .choose(&self.work.item, id, &[])
+                    .await
+                    .map_err(Failure::NoRoute)
+            }
+            Err(refusal) => Err(Failure::NoRoute(refusal)),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        lease: &AttemptLease,
+        attempt: Attempt,
+    ) -> Result<reqwest::Response, FailureKind> {
+        let body = match &attempt.resume {
+            None => self.work.body.clone(),
+            Some(point) => {
+                with_field(&self.work.body, "resume", json!(point)).map_err(|_| FailureKind::Broken)?
+            }
+        };
+        let mut headers = self.work.headers.clone();
+        let priority = HeaderValue::from(self.work.item.class.index());
+        headers.insert(HeaderName::from_static(PRIORITY_HEADER), priority);
+        let call = UpstreamCall {
+            address: &lease.decision().address,
+            method: &Method::POST,
+            path: CHAT_PATH,
+            headers: &headers,
+            body,
+            request: self.work.item.request,
+            attempt: attempt.id,
+        };
+        self.relay.on_sent(attempt.id, self.context.now());
+        let wait = self.time_left();
+        let sent = self.context.upstreams.send_repeatable(call);
+        tokio::time::timeout(wait, sent)
+            .await
+            .unwrap_or(Err(FailureKind::TimedOut))
+    }
+
+    /// Time until the running phase or the whole answer is late.
+    fn time_left(&self) -> Duration {
+        let now = self.context.now();
+        let phase = self.relay.deadline().unwrap_or(self.deadline);
+        phase.min(self.deadline).since(now)
+    }
+
+    async fn read(&mut self, mut open: OpenAttempt) -> Option<Failure> {
+        let wait = self.time_left();
+        let chunk = match tokio::time::timeout(wait, open.body.next()).await {
+            Err(_) => return Some(self.failed(open.lease, open.id, self.relay.timeout_kind())),
+            Ok(None) => return Some(self.failed(open.lease, open.id, FailureKind::Broken)),
+            Ok(Some(Err(err))) => {
+                let kind = match classify(&err) {
+                    FailureKind::TimedOut => FailureKind::TimedOut,
+                    _ => FailureKind::Broken,
+                };
+                return Some(self.failed(open.lease, open.id, kind));
+            }
+            Ok(Some(Ok(chunk))) => chunk,
+        };
+        let step = self
+            .relay
+            .on_chunk(open.id, chunk, self.context.now(), &mut self.pending);
+        match step {
+            RelayStep::Failed(kind) => Some(self.failed(open.lease, open.id, kind)),
+            RelayStep::Ended(totals) => {
+                open.lease.close(AttemptOutcome::Answered);
+                self.finish(totals);
+                None
+            }
+            RelayStep::Continue | RelayStep::Stale => {
+                note_progress(&mut open);
+                self.open = Some(open);
+                None
+            }
+        }
+    }
+
+    fn failed(&mut self, lease: AttemptLease, id: AttemptId, kind: FailureKind) -> Failure {
+        let upstream = lease.decision().upstream.clone();
+        info!(
+            target: DECISION_TARGET,
+            request:% = self.work.item.request, attempt = id.0, upstream:%, failure:? = kind;
+            "attempt failed"
+        );
+        lease.close(outcome(kind));
+        self.tried.push(upstream);
+        self.may_have_run |= !kind.is_rejection();
+        Failure::Attempt { id, kind }
+    }
+
+    /// Decides whether to go on after a failure.
+    fn recover(&mut self, failure: Failure) -> Result<(), Rejection> {
+        let now = self.context.now();
+        let (id, kind) = match failure {
+            Failure::NoRoute(refusal) => return Err(self.give_up(refusal.code())),
+            Failure::Attempt { id, kind } => (id, kind),
+        };
+        if now >= self.deadline {
+            return Err(self.give_up(kind.result_code()));
+        }
+        let relay = &mut self.relay;
+        match self
+            .context
+            .with_budget(|budget| relay.on_break(id, kind, budget, now))
+        {
+            BreakStep::Retry | BreakStep::Resume(_) | BreakStep::Stale => Ok(()),
+            BreakStep::Complete { tail, totals } => {
+                self.pending.push(tail);
+                self.finish(totals);
+                Ok(())
+            }
+            BreakStep::GiveUp(code) => Err(self.give_up(code)),
+        }
+    }
+
+    fn give_up(&mut self, code: ResultCode) -> Rejection {
+        self.ended = true;
+        self.bill(self.relay.totals());
+        let code = truthful_code(code, self.may_have_run, self.relay.is_opened());
+        Rejection::new(code).retry_after(REFUSED_RETRY)
+    }
+
+    fn finish(&mut self, totals: StreamTotals) {
+        self.ended = true;
+        self.context.with_budget(|budget| budget.on_success());
+        self.bill(totals);
+    }
+
+    /// Counts the chat for its customer, once.
+    fn bill(&mut self, totals: StreamTotals) {
+        if std::mem::replace(&mut self.billed, true) {
+            return;
+        }
+        let prompt_tokens = totals
+            .usage
+            .map_or(self.work.item.prompt_tokens, |usage| usage.prompt_tokens);
+        let output_tokens = totals
+            .usage
+            .map_or(totals.tokens, |usage| usage.completion_tokens);
+        let work = FinishedWork {
+            prompt_tokens,
+            output_tokens,
+        };
+        if let Some(permit) = self.permit.take() {
+            permit.close(work);
+        }
+        let served = output_tokens > 0;
+        if let (true, Some(customer)) = (served, &self.work.item.customer) {
+            self.context.usage.record(
+                customer,
+                UsageFigure {
+                    requests: 1,
+                    prompt_tokens,
+                    output_tokens,
+                },
+            );
+        }
+    }
+
+    /// Reads an answer that is not streamed; only a whole one is passed on.
+    pub(super) async fn whole_answer(mut self) -> Result<Bytes, Rejection> {
+        loop {
+            if let Err(failure) = self.open_attempt().await {
+                self.recover(failure)?;
+                continue;
+            }
+            let Some(open) = self.open.take() else { continue };
+            match self.read_whole(open).await {
+                Ok(body) => return Ok(body),
+                Err(failure) => self.recover(failure)?,
+            }
+        }
+    }
+
+    async fn read_whole(&mut self, mut open: OpenAttempt) -> Result<Bytes, Failure> {
+        let mut body = WholeBody::new(open.id, WHOLE_ANSWER_BYTES);
+        loop {
+            let wait = self.deadline.since(self.context.now());
+            let kind = match tokio::time::timeout(wait, open.body.next()).await {
+                Err(_) => FailureKind::TimedOut,
+                Ok(Some(Err(_))) => FailureKind::Broken,
+                Ok(Some(Ok(chunk))) => match body.push(open.id, chunk) {
+                    Ok(()) => continue,
+                    Err(_) => FailureKind::Broken,
+                },
+                Ok(None) => match body.close(None).and_then(|body| Some((usage_of(&body)?, body))) {
+                    Some((usage, body)) => {
+                        open.lease.first_token();
+                        open.lease.close(AttemptOutcome::Answered);
+                        let totals = StreamTotals {
+                            usage: Some(usage),
+                            ..self.relay.totals()
+                        };
+                        self.finish(totals);
+                        return Ok(body);
+                    }
+                    None => FailureKind::Broken,
+                },
+            };
+            return Err(self.failed(open.lease, open.id, kind));
+        }
+    }
+}
+
+/// A caller that leaves early is billed for what it was given.
+impl Drop for ChatSession {
+    fn drop(&mut self) {
+        self.bill(self.relay.totals());
+    }
+}
+
+/// Why no further bytes come from the running attempt.
+enum Failure {
+    /// No upstream can take another attempt.
+    NoRoute(RouteRefusal),
+    /// The attempt failed.
+    Attempt { id: AttemptId, kind: FailureKind },
+}
+
+fn relay_limits(service: &ServiceSettings) -> RelayLimits {
+    let progress = Duration::from_millis(service.progress_timeout_ms);
+    RelayLimits {
+        progress: ProgressLimits {
+            first_token: progress,
+            between_tokens: progress,
+            ..ProgressLimits::default()
+        },
+        ..RelayLimits::default()
+    }
+}
+
+/// A refusal may say `not run` only if no earlier attempt can have run.
+fn truthful_code(code: ResultCode, may_have_run: bool, opened: bool) -> ResultCode {
+    match (code.execution(), opened, may_have_run) {
+        (Execution::NotRun, true, _) => ResultCode::StreamBroken,
+        (Execution::NotRun, false, true) => ResultCode::OutcomeUnknown,
+        _ => code,
+    }
+}
+
+/// How an error status of an engine counts; any other answer is read.
+fn refusal_kind(status: StatusCode) -> Option<FailureKind> {
+    match status {
+        StatusCode::OK => None,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Some(FailureKind::Refused),
+        _ => Some(FailureKind::Broken),
+    }
+}
+
+fn outcome(kind: FailureKind) -> AttemptOutcome {
+    match kind {
+        FailureKind::Refused => AttemptOutcome::Refused,
+        FailureKind::TimedOut => AttemptOutcome::TimedOut,
+        FailureKind::NotConnected
+        | FailureKind::ResetAfterSend
+        | FailureKind::Broken
+        | FailureKind::Crossed => AttemptOutcome::Broken,
+    }
+}
+
+fn note_progress(open: &mut OpenAttempt) {
+    if open.blocks == 0 {
+        open.lease.first_token();
+    } else if open.blocks.is_multiple_of(PROGRESS_BLOCKS) {
+        open.lease.progress();
+    }
+    open.blocks = open.blocks.saturating_add(1);
+}
+
+#[derive(Deserialize)]
+struct UsageOnly {
+    usage: ChatUsage,
+}
+
+fn usage_of(body: &[u8]) -> Option<ChatUsage> {
+    serde_json::from_slice::<UsageOnly>(body)
+        .ok()
+        .map(|body| body.usage)
+}
--- /dev/null
+++ b/marigoldlock/src/instance.rs
@@ -0,0 +1,340 @@
+//! One running entry instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use eyre::{Result, bail};
+use kameo::actor::{ActorRef, Spawn as _};
+use log::{info, warn};
+use marigoldlock_core::admission::{AdmissionControl, AdmissionParams};
+use marigoldlock_core::membership::{MemberLimits, OwnIdentity};
+use marigoldlock_core::routing::{ExpectedCost, RouteParams, RouteTable};
+use marigoldlock_wire::peer::{PeerRequest, PeerResponse};
+use marigoldlock_wire::platform::InstanceList;
+use marigoldlock_wire::prelude::*;
+use marigoldlock_wire::record::SETTINGS_STREAM;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio_util::task::TaskTracker;
+
+use crate::calls::{CallRunner, CallService, HomeHandle};
+use crate::cli::InstanceOptions;
+use crate::clock::{BootClock, TimeSource};
+use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
+use crate::front::{ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router};
+use crate::log_stream::{FollowLimits, StreamFollower};
+use crate::members::{
+    HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, poll_list, poll_upstreams,
+};
+use crate::peer::{PeerHandler, PeerPool, PeerServer};
+use crate::platform::{HttpListClient, HttpLogClient, ListClient, LogClient};
+use crate::settings::{SettingsActor, SettingsHandle, SettingsSink, SettingsState};
+use crate::upstream::UpstreamClient;
+use crate::usage::UsageMeter;
+
+/// Longest wait for running peer requests at shutdown.
+const PEER_DRAIN: Duration = Duration::from_secs(5);
+
+/// A running entry instance.
+pub struct Instance {
+    options: InstanceOptions,
+    context: Arc<FrontContext>,
+    front: FrontServer,
+    peer_server: PeerServer,
+    peer_address: SocketAddr,
+    calls: TaskTracker,
+    tasks: Vec<AbortHandle>,
+}
+
+impl Instance {
+    /// Starts an instance; it serves once its settings are in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a flag's value can't be used or an address can't be bound.
+    pub async fn start(options: InstanceOptions) -> Result<Self> {
+        options.check()?;
+        let log = Arc::new(HttpLogClient::new(&options.log_url));
+        let list = Arc::new(HttpListClient::new(&options.list_url));
+        Self::start_with(options, log, list, Arc::new(BootClock)).await
+    }
+
+    /// Starts an instance with the given platform and clock.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn start_with(
+        options: InstanceOptions,
+        log: Arc<dyn LogClient>,
+        list: Arc<dyn ListClient>,
+        clock: Arc<dyn TimeSource>,
+    ) -> Result<Self> {
+        crate::metrics::init();
+        let listener = std::net::TcpListener::bind(options.listen);
+        let listener = match listener {
+            Ok(listener) => listener,
+            Err(err) => bail!("--listen {}: {err}", options.listen),
+        };
+        let address = options.advertise.unwrap_or(listener.local_addr()?);
+        let (peer_server, peer_listener) = PeerServer::bind(options.peer_listen).await?;
+        let peer_address = options.peer_advertise.unwrap_or(peer_server.address());
+        let own = own_addresses(&options, clock.as_ref(), address, peer_address);
+        let parts = InstanceParts::build(&options, &own, log, clock);
+        let mut tasks = parts.tasks;
+        let (feed, list_feed) = watch::channel(Arc::new(InstanceList::default()));
+        let dispatch = parts.dispatch.clone();
+        tasks.push(spawn(poll_list(
+            list,
+            options.poll(),
+            feed,
+            dispatch.clone(),
+            parts.members.clone(),
+        )));
+        tasks.push(spawn(poll_upstreams(list_feed, options.poll(), dispatch)));
+        tasks.push(spawn(Arc::clone(&parts.exchange).run(options.heartbeat())));
+        let handler = InstanceHandler {
+            exchange: parts.exchange,
+        };
+        peer_server.serve(peer_listener, Arc::new(handler));
+        let router = front_router(Arc::clone(&parts.context));
+        let front = FrontServer::start(listener, connection_limits(&options), router)?;
+        info!(instance = options.name, address:%, peer_address:%; "instance started");
+        let calls = parts.context.calls.tracker.clone();
+        Ok(Self {
+            options,
+            context: parts.context,
+            front,
+            peer_server,
+            peer_address,
+            calls,
+            tasks,
+        })
+    }
+
+    /// Address that callers use.
+    pub fn address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Address that peers use.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// What the request handlers share.
+    pub fn context(&self) -> &Arc<FrontContext> {
+        &self.context
+    }
+
+    /// Waits until the settings are in force; false if that takes too long.
+    pub async fn wait_ready(&self, timeout: Duration) -> bool {
+        let settings = self.context.settings.clone();
+        let ready = settings.wait_for(|state| state.log_read.is_some());
+        tokio::time::timeout(timeout, ready).await.unwrap_or(false)
+    }
+
+    /// Shuts down without cutting a request: leaves the address answer, lets what runs finish, then ends.
+    ///
+    /// Returns whether all running requests finished in time.
+    pub async fn close(self) -> bool {
+        info!(instance = self.options.name; "shutting down");
+        self.context.set_leaving();
+        self.context.calls.home.leave();
+        tokio::time::sleep(Duration::from_millis(self.options.leave_notice_ms)).await;
+        let finished = self
+            .front
+            .close(Duration::from_secs(self.options.drain_timeout_s))
+            .await;
+        self.calls.close();
+        let calls = tokio::time::timeout(
+            Duration::from_secs(self.options.drain_timeout_s),
+            self.calls.wait(),
+        );
+        let finished = finished && calls.await.is_ok();
+        let finished = self.peer_server.close(PEER_DRAIN).await && finished;
+        for task in &self.tasks {
+            task.abort();
+        }
+        if !finished {
+            warn!(instance = self.options.name; "requests were still running at the end of the drain time");
+        }
+        finished
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+    tokio::spawn(task).abort_handle()
+}
+
+fn own_addresses(
+    options: &InstanceOptions,
+    clock: &dyn TimeSource,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+) -> OwnAddresses {
+    OwnAddresses {
+        instance: InstanceId::from(options.name.as_str()),
+        incarnation: Incarnation(rand::random()),
+        started_ms: clock.unix_ms(),
+        data_centre: options.data_centre_id(),
+        address: address.to_string(),
+        peer_address: peer_address.to_string(),
+    }
+}
+
+fn connection_limits(options: &InstanceOptions) -> ConnectionLimits {
+    ConnectionLimits {
+        connections: options.max_connections,
+        header_bytes: options.max_header_bytes,
+        header_timeout: options.send_timeout(),
+        read_timeout: options.read_timeout(),
+    }
+}
+
+/// The actors and what the handlers share.
+struct InstanceParts {
+    context: Arc<FrontContext>,
+    exchange: Arc<HeartbeatExchange>,
+    dispatch: DispatchHandle,
+    members: MemberHandle,
+    tasks: Vec<AbortHandle>,
+}
+
+impl InstanceParts {
+    fn build(
+        options: &InstanceOptions,
+        own: &OwnAddresses,
+        log: Arc<dyn LogClient>,
+        clock: Arc<dyn TimeSource>,
+    ) -> Self {
+        let (settings, settings_actor, follower) = start_settings(log, &clock);
+        let dispatch = start_dispatch(&clock, &own.data_centre);
+        let identity = OwnIdentity {
+            instance: own.instance.clone(),
+            incarnation: own.incarnation,
+            data_centre: own.data_centre.clone(),
+        };
+        let limits = MemberLimits::default();
+        let members = MemberHandle::start(MemberSources {
+            own: identity,
+            clock: Arc::clone(&clock),
+            limits,
+        });
+        let home = HomeHandle::start(own.incarnation, Arc::clone(&clock));
+        let peers = PeerPool::default();
+        let upstreams = UpstreamClient::default();
+        let leaving = Arc::new(AtomicBool::new(false));
+        let runner = CallRunner {
+            dispatch: dispatch.clone(),
+            upstreams: upstreams.clone(),
+            clock: Arc::clone(&clock),
+        };
+        let calls = CallService {
+            home: home.clone(),
+            runner,
+            members: members.clone(),
+            peers: peers.clone(),
+            tracker: TaskTracker::new(),
+        };
+        let exchange = Arc::new(HeartbeatExchange {
+            own: own.clone(),
+            clock: Arc::clone(&clock),
+            members: members.clone(),
+            dispatch: dispatch.clone(),
+            settings: settings.clone(),
+            settings_actor,
+            home,
+            peers,
+            leaving: Arc::clone(&leaving),
+            sequence: AtomicU64::new(0),
+        });
+        let context = FrontContext::new(FrontParts {
+            name: own.instance.clone(),
+            incarnation: own.incarnation,
+            data_centre: own.data_centre.clone(),
+            address: own.address.clone(),
+            clock,
+            settings,
+            dispatch: dispatch.clone(),
+            members: members.clone(),
+            upstreams,
+            calls,
+            usage: UsageMeter::default(),
+            limits: FrontLimits {
+                send_silence: options.send_timeout(),
+            },
+            leaving,
+        });
+        Self {
+            context: Arc::new(context),
+            exchange,
+            dispatch,
+            members,
+            tasks: vec![follower],
+        }
+    }
+}
+
+fn start_settings(
+    log: Arc<dyn LogClient>,
+    clock: &Arc<dyn TimeSource>,
+) -> (SettingsHandle, ActorRef<SettingsActor>, AbortHandle) {
+    let (sender, receiver) = watch::channel(SettingsState::default());
+    let actor = SettingsActor::spawn_with_mailbox(sender, kameo::mailbox::unbounded());
+    let follower = StreamFollower::new(log, Arc::clone(clock), SETTINGS_STREAM, FollowLimits::default());
+    let task = spawn(follower.run(SettingsSink::new(actor.clone())));
+    (SettingsHandle::new(receiver), actor, task)
+}
+
+fn start_dispatch(clock: &Arc<dyn TimeSource>, data_centre: &DataCentre) -> DispatchHandle {
+    let policy = Box::new(ExpectedCost::new(rand::random()));
+    let sources = DispatchSources {
+        table: RouteTable::new(RouteParams::default(), policy),
+        admission: AdmissionControl::new(AdmissionParams::default()),
+        clock: Arc::clone(clock),
+        data_centre: data_centre.clone(),
+    };
+    DispatchHandle::new(DispatchActor::spawn_with_mailbox(
+        sources,
+        kameo::mailbox::unbounded(),
+    ))
+}
+
+/// Serves the requests of peers.
+struct InstanceHandler {
+    exchange: Arc<HeartbeatExchange>,
+}
+
+#[async_trait]
+impl PeerHandler for InstanceHandler {
+    async fn handle(&self, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::Heartbeat(heartbeat) => self.exchange.answer(*heartbeat).await,
+            other => PeerResponse::Refused {
+                code: ResultCode::UnknownRoute,
+                detail: format!("{other:?}"),
+            },
+        }
+    }
+}
+
+/// Waits for the signals that ask a process to end.
+///
+/// # Errors
+///
+/// Fails if the signals can't be listened for.
+pub async fn wait_for_signal() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    Ok(())
+}
--- a/marigoldlock/src/lib.rs
+++ b/marigoldlock/src/lib.rs
@@ -1,1 +1,22 @@
-//! x
+//! The marigoldlock entry instance.
+//!
+//! An instance takes callers' requests, decides with the state machines of `marigoldlock_core` and sends
+//! the work to upstreams. Instances share what they know over [`peer`] connections and agree through the
+//! platform's log ([`log_stream`]). This library holds everything but the argument parsing of the binary,
+//! so that the operators' tool can run several instances in one process.
+
+pub mod calls;
+pub mod cli;
+pub mod clock;
+pub mod dispatch;
+pub mod front;
+pub mod instance;
+pub mod log_stream;
+pub mod logging;
+pub mod members;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod settings;
+pub mod upstream;
+pub mod usage;
--- /dev/null
+++ b/marigoldlock/src/members/handle.rs
@@ -0,0 +1,51 @@
+//! Asking about the other instances.
+
+use kameo::actor::{ActorRef, Spawn as _};
+use marigoldlock_wire::prelude::*;
+
+use super::actor::{
+    AskAddresses, FindHome, KnownAddress, ListMembers, MemberActor, MemberSources, MemberStatus,
+};
+
+/// Way to the member actor.
+#[derive(Clone)]
+pub struct MemberHandle {
+    actor: ActorRef<MemberActor>,
+}
+
+impl MemberHandle {
+    /// Starts the actor.
+    pub fn start(sources: MemberSources) -> Self {
+        Self {
+            actor: MemberActor::spawn_with_mailbox(sources, kameo::mailbox::unbounded()),
+        }
+    }
+
+    /// The actor itself.
+    pub fn actor(&self) -> &ActorRef<MemberActor> {
+        &self.actor
+    }
+
+    /// Addresses that a caller may use, best first.
+    pub async fn addresses(&self, caller: &str, own_address: Option<String>) -> Vec<KnownAddress> {
+        let ask = AskAddresses {
+            caller: caller.to_owned(),
+            own_address,
+        };
+        self.actor.ask(ask).await.map(|known| known.0).unwrap_or_default()
+    }
+
+    /// Peer address of the instance whose keys have the home token.
+    pub async fn peer_of_home(&self, home: Incarnation) -> Option<String> {
+        self.actor.ask(FindHome(home)).await.ok().flatten()
+    }
+
+    /// All members but this instance, by name.
+    pub async fn list(&self) -> Vec<MemberStatus> {
+        self.actor
+            .ask(ListMembers)
+            .await
+            .map(|list| list.0)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/marigoldlock/src/peer/frame.rs
@@ -0,0 +1,34 @@
+//! Bodies of h2 streams.
+
+use bytes::{Bytes, BytesMut};
+use eyre::{Result, ensure, eyre};
+use futures::future::poll_fn;
+use h2::{RecvStream, SendStream};
+use marigoldlock_wire::codec::MAX_MESSAGE_BYTES;
+
+/// Reads a body whole.
+pub(super) async fn read_all(mut stream: RecvStream) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        ensure!(
+            body.len() + chunk.len() <= MAX_MESSAGE_BYTES,
+            "peer message over {MAX_MESSAGE_BYTES} bytes"
+        );
+        stream.flow_control().release_capacity(chunk.len())?;
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Writes a body whole, as far as the peer's window allows at a time.
+pub(super) async fn write_all(mut stream: SendStream<Bytes>, mut body: Bytes) -> Result<()> {
+    while !body.is_empty() {
+        stream.reserve_capacity(body.len());
+        let granted = poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let granted = granted.ok_or_else(|| eyre!("the peer closed the stream"))??;
+        stream.send_data(body.split_to(granted.min(body.len())), false)?;
+    }
+    stream.send_data(Bytes::new(), true)?;
+    Ok(())
+}
--- /dev/null
+++ b/marigoldlock/src/platform/list.rs
@@ -0,0 +1,45 @@
+//! Client of the platform's instance list.
+
+use async_trait::async_trait;
+use eyre::Result;
+use marigoldlock_wire::platform::InstanceList;
+
+use super::{ANSWER_TIMEOUT, platform_client};
+
+/// The lagging list of live and leaving machines.
+#[async_trait]
+pub trait ListClient: Send + Sync {
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer with a list in time.
+    async fn read(&self) -> Result<InstanceList>;
+}
+
+/// List client over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpListClient {
+    http: reqwest::Client,
+    url: String,
+}
+
+impl HttpListClient {
+    /// A client of the list at `base_url`.
+    pub fn new(base_url: &str) -> Self {
+        let url = format!("{}/v1/instances", base_url.trim_end_matches('/'));
+        Self {
+            http: platform_client(),
+            url,
+        }
+    }
+}
+
+#[async_trait]
+impl ListClient for HttpListClient {
+    async fn read(&self) -> Result<InstanceList> {
+        let request = self.http.get(&self.url).timeout(ANSWER_TIMEOUT);
+        let response = request.send().await?.error_for_status()?;
+        Ok(response.json().await?)
+    }
+}
--- /dev/null
+++ b/marigoldlock/src/platform/log.rs
@@ -0,0 +1,179 @@
+//! Client of the platform's log.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use marigoldlock_wire::platform::{AppendAnswer, MAX_RECORD_BYTES, ReadAnswer, ReadQuery};
+use reqwest::StatusCode;
+
+use super::{ANSWER_TIMEOUT, platform_client};
+
+/// Why the log did not serve a call.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+pub enum LogError {
+    /// The log refused the call; nothing was appended.
+    #[display("the log refused the call with status {status}")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// No connection came about; nothing was appended.
+    #[display("the log can't be reached: {reason}")]
+    Unreachable {
+        /// What failed.
+        reason: String,
+    },
+    /// The answer is missing; the record may be appended, now or later.
+    #[display("the log did not answer: {reason}")]
+    Unknown {
+        /// What failed.
+        reason: String,
+    },
+    /// The record is larger than the log takes; nothing was appended.
+    #[display("the record has {size} bytes and the log takes {MAX_RECORD_BYTES}")]
+    TooLarge {
+        /// Size of the record, in bytes.
+        size: usize,
+    },
+}
+
+/// Records read from a stream.
+#[derive(Clone, Debug, Default)]
+pub struct ReadBatch {
+    /// Oldest offset still kept.
+    pub first: u64,
+    /// Offset that the next append will get.
+    pub head: u64,
+    /// Offset and bytes of each record, in offset order.
+    pub records: Vec<(u64, Bytes)>,
+}
+
+impl ReadBatch {
+    /// Offset to read from next, given the offset that this read started from.
+    pub fn next_offset(&self, from: u64) -> u64 {
+        let start = from.max(self.first);
+        self.records.last().map_or(start, |(offset, _)| offset + 1)
+    }
+}
+
+/// The platform's log.
+#[async_trait]
+pub trait LogClient: Send + Sync {
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// [`LogError::Unknown`] leaves open whether the record is appended; the others mean that it is not.
+    async fn append(&self, stream: &str, data: Bytes) -> Result<u64, LogError>;
+
+    /// Reads records from an offset on, waiting up to `wait` for one at the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log does not answer in time.
+    async fn read(&self, stream: &str, from: u64, max: usize, wait: Duration) -> Result<ReadBatch, LogError>;
+}
+
+/// Log client over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpLogClient {
+    http: reqwest::Client,
+    base_url: String,
+}
+
+impl HttpLogClient {
+    /// A client of the log at `base_url`.
+    pub fn new(base_url: &str) -> Self {
+        Self {
+            http: platform_client(),
+            base_url: base_url.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    fn url(&self, stream: &str) -> String {
+        format!("{}/v1/streams/{stream}/records", self.base_url)
+    }
+}
+
+#[async_trait]
+impl LogClient for HttpLogClient {
+    async fn append(&self, stream: &str, data: Bytes) -> Result<u64, LogError> {
+        if data.len() > MAX_RECORD_BYTES {
+            return Err(LogError::TooLarge { size: data.len() });
+        }
+        let request = self
+            .http
+            .post(self.url(stream))
+            .body(data)
+            .timeout(ANSWER_TIMEOUT);
+        let response = request.send().await.map_err(|err| send_error(&err))?;
+        check_status(response.status())?;
+        let answer: AppendAnswer = response.json().await.map_err(|err| unknown(&err))?;
+        Ok(answer.offset)
+    }
+
+    async fn read(&self, stream: &str, from: u64, max: usize, wait: Duration) -> Result<ReadBatch, LogError> {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let query = ReadQuery { from, max, wait_ms };
+        let url = format!(
+            "{}?from={}&max={}&wait_ms={}",
+            self.url(stream),
+            query.from,
+            query.max,
+            query.wait_ms
+        );
+        let request = self.http.get(url).timeout(wait.saturating_add(ANSWER_TIMEOUT));
+        let response = request.send().await.map_err(|err| send_error(&err))?;
+        check_status(response.status())?;
+        let answer: ReadAnswer = response.json().await.map_err(|err| unknown(&err))?;
+        read_batch(answer)
+    }
+}
+
+fn read_batch(answer: ReadAnswer) -> Result<ReadBatch, LogError> {
+    let mut records = Vec::with_capacity(answer.records.len());
+    for record in answer.records {
+        let data = STANDARD.decode(&record.data).map_err(|err| unknown(&err))?;
+        records.push((record.offset, Bytes::from(data)));
+    }
+    Ok(ReadBatch {
+        first: answer.first,
+        head: answer.head,
+        records,
+    })
+}
+
+/// A 5xx from a server that gave up midway says nothing about the effect; 429 and 503 are refusals.
+fn check_status(status: StatusCode) -> Result<(), LogError> {
+    match status {
+        _ if status.is_success() => Ok(()),
+        StatusCode::SERVICE_UNAVAILABLE => Err(LogError::Refused {
+            status: status.as_u16(),
+        }),
+        _ if status.is_server_error() => Err(LogError::Unknown {
+            reason: format!("status {status}"),
+        }),
+        _ => Err(LogError::Refused {
+            status: status.as_u16(),
+        }),
+    }
+}
+
+fn send_error(err: &reqwest::Error) -> LogError {
+    if err.is_connect() {
+        return LogError::Unreachable {
+            reason: err.to_string(),
+        };
+    }
+    unknown(err)
+}
+
+fn unknown(err: &dyn std::error::Error) -> LogError {
+    LogError::Unknown {
+        reason: err.to_string(),
+    }
+}
--- /dev/null
+++ b/marigoldlock/src/platform/mod.rs
@@ -0,0 +1,37 @@
+//! Clients of the platform's interfaces.
+//!
+//! Each interface is a trait object, so that tests put a fake in its place. The HTTP clients use short
+//! timeouts and `TCP_USER_TIMEOUT`, since a connection may go silent for good while new ones work.
+
+use std::time::Duration;
+
+mod list;
+mod log;
+
+pub use list::{HttpListClient, ListClient};
+pub use log::{HttpLogClient, LogClient, LogError, ReadBatch};
+
+/// Longest wait for a connection to the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time the kernel keeps sent and unacknowledged bytes.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest silence of an answer, long polls excepted.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// HTTP client towards the platform.
+///
+/// # Panics
+///
+/// Panics if the HTTP library can't start, which needs no outside condition.
+pub fn platform_client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_user_timeout(USER_TIMEOUT)
+        .tcp_nodelay(true)
+        .redirect(reqwest::redirect::Policy::none())
+        .build()
+        .expect("a client without TLS always builds")
+}
