--- a/marigoldlock_core/src/keys/freshness.rs
+++ b/marigoldlock_core/src/keys/freshness.rs
@@ -13,6 +13,9 @@
 //!   a withdrawal appended just before the outage and read by nobody, or appended through a log that only
 //!   these instances can't reach, takes effect after this bound at the latest.
 //!
+//! An instance that starts in an outage serves only once it holds the newest version that any visible instance
+//! has; their evidence, and its age, becomes its own.
+//!
 //! More than half is asked for because a partition that takes some instances away from the log makes each of
 //! them confirm the outage to the others.
 
@@ -84,12 +87,14 @@
     pub confirming: usize,
     /// Visible instances that can read the log.
     pub denying: usize,
+    /// True while a visible instance holds newer settings than this one.
+    pub behind: bool,
 }
 
 impl OutageView {
-    /// True if the log is taken to be down for all.
+    /// True if the log is taken to be down for all, and nobody is known to hold newer settings.
     pub fn is_confirmed(&self) -> bool {
-        self.denying == 0 && self.confirming * 2 > self.listed
+        self.denying == 0 && !self.behind && self.confirming * 2 > self.listed
     }
 }
 
--- a/marigoldlock_core/src/keys/tests.rs
+++ b/marigoldlock_core/src/keys/tests.rs
@@ -16,16 +16,17 @@
     }
 }
 
-const ALONE: OutageView = OutageView {
-    listed: 8,
-    confirming: 1,
-    denying: 0,
-};
-const ALL_CONFIRM: OutageView = OutageView {
-    listed: 8,
-    confirming: 5,
-    denying: 0,
-};
+const ALONE: OutageView = view(8, 1, 0);
+const ALL_CONFIRM: OutageView = view(8, 5, 0);
+
+const fn view(listed: usize, confirming: usize, denying: usize) -> OutageView {
+    OutageView {
+        listed,
+        confirming,
+        denying,
+        behind: false,
+    }
+}
 
 fn at(seconds: u64) -> MonoTime {
     MonoTime::from_millis(seconds * 1_000)
@@ -92,14 +93,7 @@
 
 #[test]
 fn outage_needs_more_than_half_and_no_denial() {
-    let view = |listed, confirming, denying| {
-        OutageView {
-            listed,
-            confirming,
-            denying,
-        }
-        .is_confirmed()
-    };
+    let view = |listed, confirming, denying| view(listed, confirming, denying).is_confirmed();
     assert!(view(8, 5, 0));
     assert!(!view(8, 4, 0));
     assert!(!view(8, 7, 1));
@@ -108,6 +102,24 @@
     assert!(!view(0, 0, 0));
 }
 
+#[test]
+fn instance_that_starts_in_an_outage_waits_for_the_newest_version_held() {
+    let mut evidence = SettingsEvidence::default();
+    evidence.note_peer(at(10), Duration::from_secs(600), LogPosition(3), LogPosition(3));
+    let behind = OutageView {
+        behind: true,
+        ..ALL_CONFIRM
+    };
+    assert_eq!(
+        FreshnessRule::default().verdict(at(10), &evidence, &behind),
+        stale()
+    );
+    assert_eq!(
+        FreshnessRule::default().verdict(at(10), &evidence, &ALL_CONFIRM),
+        FreshnessVerdict::Serve
+    );
+}
+
 #[test]
 fn peer_counts_only_for_versions_already_folded() {
     let mut evidence = SettingsEvidence::default();
--- a/marigoldlock_core/src/settings/active.rs
+++ b/marigoldlock_core/src/settings/active.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use toml::Value;
+
 use crate::keys::KeyHash;
 use crate::prelude::*;
+use crate::settings::trees::SettingsTrees;
 use crate::settings::{
     CapacityRule, CustomerSettings, FleetSettings, KeySettings, OperatorSettings, RequestClass,
-    ServiceSettings, TeamSettings,
+    ServiceSettings, SettingsFold, SettingsPath, TeamSettings,
 };
 
 /// Settings in force at one version.
@@ -22,6 +25,7 @@
 pub(super) struct SettingsIndex {
     fleet: Arc<FleetSettings>,
     teams: BTreeMap<TeamId, Arc<TeamSettings>>,
+    trees: SettingsTrees,
     services: FastMap<ServiceId, Arc<ServiceSettings>>,
     models: FastMap<ModelId, Arc<ServiceSettings>>,
     customers: FastMap<CustomerId, Arc<CustomerSettings>>,
@@ -29,13 +33,14 @@
 }
 
 impl SettingsIndex {
-    pub(super) fn build(fleet: &Arc<FleetSettings>, teams: &BTreeMap<TeamId, Arc<TeamSettings>>) -> Self {
+    pub(super) fn build(fold: &SettingsFold) -> Self {
         let mut index = Self {
-            fleet: fleet.clone(),
-            teams: teams.clone(),
+            fleet: fold.fleet.clone(),
+            teams: fold.teams.clone(),
+            trees: fold.trees.clone(),
             ..Self::default()
         };
-        for team in teams.values() {
+        for team in fold.teams.values() {
             for service in team.services.values() {
                 index.services.insert(service.name.clone(), service.clone());
                 let models = service
@@ -101,6 +106,11 @@
         self.index.customers.values()
     }
 
+    /// The value at a path as it was published, `None` if there is none.
+    pub fn value(&self, path: &SettingsPath) -> Option<Value> {
+        self.index.trees.value(path)
+    }
+
     /// Settings of one team.
     pub fn team(&self, name: &str) -> Option<&Arc<TeamSettings>> {
         self.index.teams.get(name)
--- a/marigoldlock_core/src/settings/check.rs
+++ b/marigoldlock_core/src/settings/check.rs
@@ -48,12 +48,12 @@
         fleet.spread.relays_per_data_centre,
         1..=16,
     )?;
-    // An instance must hear of a withdrawn key well before it counts as cut off.
+    // The evidence must last through two waits and the silent death of a relay.
     within(
         path,
-        "spread/pull_interval_ms",
-        fleet.spread.pull_interval_ms,
-        100..=fleet.freshness.cut_off_ms / 2,
+        "spread/pull_wait_ms",
+        fleet.spread.pull_wait_ms,
+        50..=fleet.freshness.cut_off_ms / 5,
     )?;
     within(
         path,
--- a/marigoldlock_core/src/settings/fleet.rs
+++ b/marigoldlock_core/src/settings/fleet.rs
@@ -53,8 +53,8 @@
 pub struct SpreadSettings {
     /// Instances of a data centre that follow the log directly.
     pub relays_per_data_centre: u32,
-    /// Time between two requests of an instance to its relay, in milliseconds.
-    pub pull_interval_ms: u64,
+    /// Time for which a relay keeps a request that it has nothing new for, in milliseconds.
+    pub pull_wait_ms: u64,
     /// Age of the newest snapshot at which another is written, in seconds.
     pub snapshot_interval_s: u64,
 }
@@ -63,7 +63,7 @@
     fn default() -> Self {
         Self {
             relays_per_data_centre: 2,
-            pull_interval_ms: 1_000,
+            pull_wait_ms: 500,
             snapshot_interval_s: 6 * 60 * 60,
         }
     }
--- a/marigoldlock_core/src/settings/fold.rs
+++ b/marigoldlock_core/src/settings/fold.rs
@@ -1,26 +1,22 @@
 //! The fold of settings records.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::{Arc, OnceLock};
 
 use marigoldlock_wire::record::Envelope;
-use toml::{Table, Value};
+use toml::Value;
 
 use crate::prelude::*;
 use crate::settings::active::SettingsIndex;
 use crate::settings::check::{check_fleet, check_team, check_unique};
 use crate::settings::document::{edit, parse_body, typed, with_line};
+use crate::settings::history::{ChangeHistory, SeenIds};
+use crate::settings::trees::SettingsTrees;
 use crate::settings::{
     ActiveSettings, FleetSettings, RejectionReason, SettingsChange, SettingsPath, SettingsRejection,
     TeamSettings,
 };
 
-/// Record ids that are remembered against duplicates.
-const REMEMBERED_IDS: usize = 1_024;
-
-/// Changed paths that are remembered for the `expect` of later changes.
-const REMEMBERED_PATHS: usize = 1_024;
-
 /// What the fold of one envelope did.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FoldOutcome {
@@ -33,14 +29,13 @@
 /// State of the settings after the records folded so far.
 #[derive(Clone, Debug, Default)]
 pub struct SettingsFold {
-    version: LogPosition,
-    fleet_tree: Table,
-    team_trees: BTreeMap<TeamId, Table>,
-    fleet: Arc<FleetSettings>,
-    teams: BTreeMap<TeamId, Arc<TeamSettings>>,
-    changes: ChangeHistory,
-    seen: SeenIds,
-    index: OnceLock<Arc<SettingsIndex>>,
+    pub(super) version: LogPosition,
+    pub(super) trees: SettingsTrees,
+    pub(super) fleet: Arc<FleetSettings>,
+    pub(super) teams: BTreeMap<TeamId, Arc<TeamSettings>>,
+    pub(super) changes: ChangeHistory,
+    pub(super) seen: SeenIds,
+    pub(super) index: OnceLock<Arc<SettingsIndex>>,
 }
 
 impl SettingsFold {
@@ -58,9 +53,7 @@
 
     /// The settings in force.
     pub fn active(&self) -> Arc<ActiveSettings> {
-        let index = self
-            .index
-            .get_or_init(|| Arc::new(SettingsIndex::build(&self.fleet, &self.teams)));
+        let index = self.index.get_or_init(|| Arc::new(SettingsIndex::build(self)));
         Arc::new(ActiveSettings::new(self.version, index.clone()))
     }
 
@@ -122,18 +115,12 @@
 
     /// The value at a path as it was published, `None` if there is none.
     pub fn value(&self, path: &SettingsPath) -> Option<Value> {
-        let root = match path.team_name() {
-            Some(team) => self.team_trees.get(team)?,
-            None => &self.fleet_tree,
-        };
-        let Some((first, rest)) = path.below_root().split_first() else {
-            return Some(Value::Table(root.clone()));
-        };
-        let mut value = root.get(first)?;
-        for segment in rest {
-            value = value.as_table()?.get(segment)?;
-        }
-        Some(value.clone())
+        self.trees.value(path)
+    }
+
+    /// Position of the newest remembered change at, above or under a path.
+    pub fn changed_at(&self, path: &SettingsPath) -> Option<LogPosition> {
+        self.changes.changed_at(path)
     }
 
     fn replace(&mut self, path: &SettingsPath, body: Option<&str>) -> Result<(), SettingsRejection> {
@@ -145,10 +132,10 @@
     }
 
     fn replace_fleet(&mut self, path: &SettingsPath, value: Option<Value>) -> Result<(), SettingsRejection> {
-        let tree = edit(path, &self.fleet_tree, value)?;
+        let tree = edit(path, &self.trees.fleet, value)?;
         let fleet: FleetSettings = typed("fleet", &Value::Table(tree.clone()))?;
         check_fleet(&fleet)?;
-        self.fleet_tree = tree;
+        self.trees.fleet = Arc::new(tree);
         self.fleet = Arc::new(fleet);
         Ok(())
     }
@@ -160,83 +147,16 @@
         value: Option<Value>,
     ) -> Result<(), SettingsRejection> {
         let before = self.teams.get(&team).cloned().unwrap_or_default();
-        let empty = Table::new();
-        let tree = edit(path, self.team_trees.get(&team).unwrap_or(&empty), value)?;
+        let tree = edit(path, &self.trees.team(&team), value)?;
         let settings = before.update(path, &tree)?;
         check_team(&team, &settings)?;
         check_unique(&team, &settings, &self.teams)?;
         if tree.is_empty() {
-            self.team_trees.remove(&team);
             self.teams.remove(&team);
         } else {
-            self.team_trees.insert(team.clone(), tree);
-            self.teams.insert(team, Arc::new(settings));
+            self.teams.insert(team.clone(), Arc::new(settings));
         }
+        self.trees.set_team(team, tree);
         Ok(())
     }
 }
-
-/// Accepted changes by path, for optimistic concurrency.
-#[derive(Clone, Debug, Default)]
-struct ChangeHistory {
-    changed_at: BTreeMap<SettingsPath, LogPosition>,
-    // Newest of the forgotten changes.
-    forgotten: Option<LogPosition>,
-}
-
-impl ChangeHistory {
-    fn check(&self, path: &SettingsPath, expect: Option<LogPosition>) -> Result<(), SettingsRejection> {
-        let Some(expected) = expect else { return Ok(()) };
-        let conflicts = self
-            .changed_at
-            .iter()
-            .filter(|(changed, _)| changed.overlaps(path));
-        let newest = conflicts
-            .map(|(_, position)| *position)
-            .chain(self.forgotten)
-            .max();
-        match newest {
-            Some(changed_at) if changed_at >= expected => Err(SettingsRejection {
-                path: path.to_string(),
-                line: None,
-                reason: RejectionReason::Conflict { expected, changed_at },
-            }),
-            _ => Ok(()),
-        }
-    }
-
-    fn record(&mut self, path: SettingsPath, position: LogPosition) {
-        // The new entry is newer than those under its path and overlaps all that they do.
-        self.changed_at.retain(|changed, _| !path.contains(changed));
-        self.changed_at.insert(path, position);
-        if self.changed_at.len() > REMEMBERED_PATHS {
-            let oldest = self.changed_at.iter().min_by_key(|(_, position)| **position);
-            if let Some((path, position)) = oldest.map(|(path, position)| (path.clone(), *position)) {
-                self.changed_at.remove(&path);
-                self.forgotten = self.forgotten.max(Some(position));
-            }
-        }
-    }
-}
-
-/// Ids of the newest envelopes.
-#[derive(Clone, Debug, Default)]
-struct SeenIds {
-    ids: FastSet<RecordId>,
-    order: VecDeque<RecordId>,
-}
-
-impl SeenIds {
-    /// Remembers an id; false if it was known.
-    fn insert(&mut self, id: RecordId) -> bool {
-        if !self.ids.insert(id) {
-            return false;
-        }
-        self.order.push_back(id);
-        if self.order.len() > REMEMBERED_IDS {
-            let oldest = self.order.pop_front();
-            oldest.map(|oldest| self.ids.remove(&oldest));
-        }
-        true
-    }
-}
--- a/marigoldlock_core/src/settings/mod.rs
+++ b/marigoldlock_core/src/settings/mod.rs
@@ -22,13 +22,17 @@
 mod document;
 mod fleet;
 mod fold;
+mod history;
+mod image;
 mod path;
 mod rejection;
 mod rule;
 mod service;
+mod spread;
 mod team;
 #[cfg(test)]
 mod tests;
+mod trees;
 
 pub use marigoldlock_wire::record::settings::SettingsChange;
 
@@ -36,8 +40,10 @@
 pub use self::customer::{CustomerSettings, KeySettings, OperatorSettings};
 pub use self::fleet::{FleetSettings, FreshnessSettings, ObjectiveWeights, SpreadSettings};
 pub use self::fold::{FoldOutcome, SettingsFold};
+pub use self::image::{ImageReader, SettingsImage, split_image, start_fold};
 pub use self::path::SettingsPath;
 pub use self::rejection::{RejectionReason, SettingsRejection};
 pub use self::rule::CapacityRule;
 pub use self::service::{OrderCheck, RequestClass, ServiceKind, ServiceSettings};
+pub use self::spread::{SettingsSource, SourceChooser, SpreadMember, choose_relays};
 pub use self::team::TeamSettings;
--- a/marigoldlock_core/src/settings/path.rs
+++ b/marigoldlock_core/src/settings/path.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::settings::SettingsRejection;
 
@@ -16,8 +17,9 @@
 pub(super) const ITEM_SEGMENTS: usize = 4;
 
 /// Checked path of a subtree: `fleet...` or `teams/<team>...`.
-#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[display("{}", segments.join("/"))]
+#[serde(into = "String", try_from = "String")]
 pub struct SettingsPath {
     segments: Vec<String>,
 }
@@ -72,6 +74,20 @@
     }
 }
 
+impl From<SettingsPath> for String {
+    fn from(path: SettingsPath) -> Self {
+        path.to_string()
+    }
+}
+
+impl TryFrom<String> for SettingsPath {
+    type Error = SettingsRejection;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
 impl FromStr for SettingsPath {
     type Err = SettingsRejection;
 
--- a/marigoldlock_core/src/settings/tests.rs
+++ b/marigoldlock_core/src/settings/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the settings fold.
 
 use marigoldlock_wire::record::Envelope;
+use marigoldlock_wire::record::authority::SnapshotPart;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -251,6 +252,106 @@
     assert_eq!(fold.version(), LogPosition::new(1, 0));
 }
 
+fn members(count: usize) -> Vec<SpreadMember> {
+    let member = |index: usize| SpreadMember {
+        instance: format!("entry-{index}").as_str().into(),
+        data_centre: ["pest-a", "pest-b"][index % 2].into(),
+    };
+    (0..count).map(member).collect()
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn relays_follow_the_log_and_the_others_follow_relays() {
+    let members = members(40);
+    let relays = choose_relays(&members, &"pest-a".into(), 2);
+    assert_eq!(relays.len(), 2);
+    let mut followers: FastMap<InstanceId, usize> = FastMap::default();
+    for member in members
+        .iter()
+        .filter(|member| member.data_centre.as_str() == "pest-a")
+    {
+        match SourceChooser::new(member.clone()).choose(&members, 2, at(0)) {
+            SettingsSource::Log => assert!(relays.contains(&member.instance)),
+            SettingsSource::Peer(relay) => *followers.entry(relay).or_default() += 1,
+        }
+    }
+    assert_eq!(followers.values().sum::<usize>(), 18);
+    assert!(relays.iter().all(|relay| followers[relay] >= 4), "{followers:?}");
+}
+
+#[test]
+fn follower_of_a_dead_relay_reads_the_log_and_then_asks_the_other_relay() {
+    let members = members(40);
+    let relays = choose_relays(&members, &"pest-a".into(), 2);
+    let own = members
+        .iter()
+        .step_by(2)
+        .find(|member| !relays.contains(&member.instance))
+        .unwrap();
+    let mut chooser = SourceChooser::new(own.clone());
+    let first = chooser.choose(&members, 2, at(0));
+    chooser.note_failure(&first, at(0));
+    assert_eq!(chooser.choose(&members, 2, at(1)), SettingsSource::Log);
+    chooser.note_failure(&SettingsSource::Log, at(10));
+    let second = chooser.choose(&members, 2, at(11));
+    assert!(second != first && second != SettingsSource::Log);
+    chooser.note_failure(&second, at(20));
+    assert_eq!(chooser.choose(&members, 2, at(21)), first);
+    assert_eq!(chooser.choose(&members, 2, at(5_000)), first);
+}
+
+#[test]
+fn lone_instance_reads_the_log() {
+    let own = members(1).remove(0);
+    assert_eq!(
+        SourceChooser::new(own.clone()).choose(&[own], 2, at(0)),
+        SettingsSource::Log
+    );
+}
+
+fn snapshot_envelopes(fold: &SettingsFold, writer: u64) -> Vec<Envelope<SnapshotPart>> {
+    let parts = split_image(&SettingsImage::of(fold));
+    let envelope = |part: SnapshotPart| Envelope {
+        id: RecordId(u128::from(part.part)),
+        writer: "entry-1".into(),
+        incarnation: Incarnation(writer),
+        records: vec![part],
+    };
+    parts.into_iter().map(envelope).collect()
+}
+
+#[test]
+fn fresh_reader_starts_from_the_newest_whole_snapshot() {
+    let mut fold = SettingsFold::new();
+    let mut reader = ImageReader::default();
+    for offset in 0..400 {
+        let path = format!("teams/a/customers/c{offset}");
+        let long = format!("data_centres = [{}]", "\"pest-a\", ".repeat(60));
+        fold.apply_envelope(offset, &envelope(offset.into(), vec![change(&path, &long)]));
+        if offset == 200 {
+            snapshot_envelopes(&fold, 1)
+                .iter()
+                .for_each(|envelope| reader.add(envelope));
+        }
+    }
+    let newest = snapshot_envelopes(&fold, 2);
+    assert!(newest.len() > 1);
+    newest.iter().skip(1).for_each(|envelope| reader.add(envelope));
+    assert_eq!(reader.newest().unwrap().version(), LogPosition::new(201, 0));
+    newest.iter().for_each(|envelope| reader.add(envelope));
+    assert_eq!(reader.newest().unwrap().version(), fold.version());
+    assert!(start_fold(400, &reader).is_some());
+    assert!(start_fold(401, &reader).is_none());
+    assert_eq!(
+        start_fold(0, &ImageReader::default()).unwrap().version(),
+        LogPosition(0)
+    );
+}
+
 /// Paths and bodies of which some are accepted and some are not, depending on what came before.
 fn any_change() -> impl Strategy<Value = SettingsChange> {
     let path = prop::sample::select(vec![
@@ -342,6 +443,29 @@
         prop_assert_eq!(straight.version(), wandering.version());
     }
 
+    /// A reader that starts from a snapshot comes to the same verdicts as one that read everything.
+    #[test]
+    fn snapshot_and_whole_log_agree(changes in prop::collection::vec(any_change(), 2..40), at in 0usize..39) {
+        let at = at.min(changes.len() - 1);
+        let envelopes: Vec<_> =
+            changes.into_iter().enumerate().map(|(id, change)| envelope(id as u128, vec![change])).collect();
+        let mut whole = SettingsFold::new();
+        for (offset, envelope) in envelopes[..at].iter().enumerate() {
+            whole.apply_envelope(offset as u64, envelope);
+        }
+        let mut restored = SettingsImage::of(&whole).restore().unwrap();
+        for (offset, envelope) in envelopes.iter().enumerate().skip(at) {
+            prop_assert_eq!(
+                whole.apply_envelope(offset as u64, envelope),
+                restored.apply_envelope(offset as u64, envelope)
+            );
+        }
+        let repeat = whole.apply_envelope(90, &envelopes[0]);
+        prop_assert_eq!(repeat, restored.apply_envelope(90, &envelopes[0]));
+        prop_assert_eq!(snapshot(&whole), snapshot(&restored));
+        prop_assert_eq!(SettingsImage::of(&whole), SettingsImage::of(&restored));
+    }
+
     /// Reusing unchanged items gives the same settings as publishing the resulting tree at once.
     #[test]
     fn steps_and_whole_tree_agree(changes in prop::collection::vec(any_change(), 1..40)) {
