Make the stand-ins real: batching engine, ordering, usage, processes

Change: continuous batching on tokio's clock with priorities, prefix cache, roles, orders with fencing, lagged load and late cache events; ordering and usage with what was wrong about each call; fault plans with budgets, outages, restarts and silent connections; marigoldctl standin runs each as a process.

--- /dev/null
+++ b/marigoldlock_standin/src/engine/cache.rs
@@ -0,0 +1,106 @@
+//! Prefix cache of an engine: blocks in order of use, and the events about them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use marigoldlock_wire::FastMap;
+use marigoldlock_wire::engine::{CACHE_BLOCK_TOKENS, CacheChange, CacheEvent};
+use tokio::time::Instant;
+
+/// Events that are kept for readers; older ones are a gap to them.
+const EVENTS_KEPT: usize = 4096;
+
+/// Cached blocks, by the hash of the prompt up to and with the block.
+#[derive(Debug, Default)]
+pub(super) struct PrefixCache {
+    uses: u64,
+    last_use: FastMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    next_event: u64,
+}
+
+impl PrefixCache {
+    /// Number of leading blocks that are cached.
+    pub(super) fn count_prefix(&self, blocks: &[u64]) -> usize {
+        blocks
+            .iter()
+            .take_while(|block| self.last_use.contains_key(block))
+            .count()
+    }
+
+    /// Marks the leading blocks that are cached as used, and gives their tokens.
+    pub(super) fn touch_prefix(&mut self, blocks: &[u64]) -> u64 {
+        let cached = self.count_prefix(blocks);
+        // The end of a prefix is the first to go.
+        for block in blocks[..cached].iter().rev() {
+            self.mark_used(*block);
+        }
+        (cached * CACHE_BLOCK_TOKENS) as u64
+    }
+
+    /// Caches the blocks.
+    pub(super) fn store(&mut self, blocks: &[u64], now: Instant) {
+        for block in blocks.iter().rev() {
+            if !self.last_use.contains_key(block) {
+                self.add_event(CacheChange::Stored, *block, now);
+            }
+            self.mark_used(*block);
+        }
+    }
+
+    /// Evicts the blocks unused for longest until the rest fits.
+    pub(super) fn shrink(&mut self, room_tokens: u64, now: Instant) {
+        let room = room_tokens as usize / CACHE_BLOCK_TOKENS;
+        while self.last_use.len() > room {
+            let Some((_, block)) = self.by_use.pop_first() else {
+                return;
+            };
+            self.last_use.remove(&block);
+            self.add_event(CacheChange::Evicted, block, now);
+        }
+    }
+
+    /// Tokens that are cached.
+    pub(super) fn tokens(&self) -> u64 {
+        (self.last_use.len() * CACHE_BLOCK_TOKENS) as u64
+    }
+
+    /// Events from a number on that are older than the lag, and the number to ask from next time.
+    pub(super) fn events(&self, from: u64, lag: Duration, gap: u64, now: Instant) -> (Vec<CacheEvent>, u64) {
+        let published = |(made, _): &&(Instant, CacheEvent)| now.duration_since(*made) >= lag;
+        let mut next = from.min(self.next_event);
+        let mut events = Vec::new();
+        for (_, event) in self.events.iter().take_while(published) {
+            if event.sequence < from {
+                continue;
+            }
+            next = event.sequence + 1;
+            if gap == 0 || !(event.sequence + 1).is_multiple_of(gap) {
+                events.push(*event);
+            }
+        }
+        (events, next)
+    }
+
+    fn mark_used(&mut self, block: u64) {
+        self.uses += 1;
+        if let Some(before) = self.last_use.insert(block, self.uses) {
+            self.by_use.remove(&before);
+        }
+        self.by_use.insert(self.uses, block);
+    }
+
+    fn add_event(&mut self, change: CacheChange, prefix: u64, now: Instant) {
+        let event = CacheEvent {
+            sequence: self.next_event,
+            change,
+            prefix,
+        };
+        self.next_event += 1;
+        self.events.push_back((now, event));
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/marigoldlock_standin/src/engine/chat.rs
@@ -0,0 +1,262 @@
+//! Chat completions: from the request's headers and body to its answer.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::{Body, Bytes};
+use axum::extract::{Extension, State};
+use axum::http::{HeaderMap, HeaderValue, header};
+use axum::response::{IntoResponse, Response};
+use futures::stream;
+use marigoldlock_wire::engine::{
+    ATTEMPT_HEADER, ChatRequest, ChatUsage, PRIORITY_HEADER, REQUEST_ID_HEADER, prompt_tokens,
+};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
+
+use super::SharedEngine;
+use super::batch::OutputEvent;
+use super::chunk::ChunkTemplate;
+use super::seen::{RequestOutcome, SeenRequest};
+use super::text::OutputText;
+use crate::faults::{FaultKnobs, StreamFault};
+use crate::headers::{header_texts, text_header};
+use crate::server::ConnectionHandle;
+
+/// Priority of a request that has none of its own.
+const DEFAULT_PRIORITY: u8 = 4;
+
+/// What an answer is made from.
+#[derive(Clone, Debug)]
+struct AnswerPlan {
+    template: ChunkTemplate,
+    output: OutputText,
+    resumed_tokens: u64,
+    usage: ChatUsage,
+    finish_reason: &'static str,
+}
+
+impl AnswerPlan {
+    fn new(engine: &SharedEngine, headers: &HeaderMap, request: &ChatRequest, default_tokens: u64) -> Self {
+        let id = text_header(headers, REQUEST_ID_HEADER).unwrap_or_default();
+        let created = engine.clock.now_ms() / 1000;
+        let usage = ChatUsage {
+            prompt_tokens: prompt_tokens(&request.messages),
+            completion_tokens: request.max_tokens.unwrap_or(default_tokens),
+            cached_tokens: 0,
+        };
+        Self {
+            template: ChunkTemplate::new(&id, &request.model, created),
+            output: OutputText::new(&request.messages),
+            resumed_tokens: request.resume.as_ref().map_or(0, |resume| resume.tokens),
+            usage,
+            finish_reason: if request.max_tokens.is_some() {
+                "length"
+            } else {
+                "stop"
+            },
+        }
+    }
+
+    fn end(&self, cached_tokens: u64) -> String {
+        let usage = ChatUsage {
+            cached_tokens,
+            ..self.usage
+        };
+        self.template.end(self.finish_reason, usage)
+    }
+
+    fn whole(&self, cached_tokens: u64) -> Response {
+        let mut text = String::new();
+        for index in self.resumed_tokens..self.usage.completion_tokens {
+            self.output.push_token(index, &mut text);
+        }
+        let usage = ChatUsage {
+            cached_tokens,
+            ..self.usage
+        };
+        Json(self.template.whole(&text, self.finish_reason, usage)).into_response()
+    }
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(super) async fn complete(
+    State(engine): State<Arc<SharedEngine>>,
+    Extension(connection): Extension<ConnectionHandle>,
+    headers: HeaderMap,
+    Json(request): Json<ChatRequest>,
+) -> Response {
+    let record = SeenRequest {
+        headers: header_texts(&headers),
+        priority: text_header(&headers, PRIORITY_HEADER)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(DEFAULT_PRIORITY),
+        ..SeenRequest::default()
+    };
+    let mut response = match engine.options.burst {
+        true => answer_burst(&engine, &headers, &request, record),
+        false => answer_batched(&engine, connection, &headers, &request, record).await,
+    };
+    for name in [REQUEST_ID_HEADER, ATTEMPT_HEADER] {
+        if let Some(value) = headers.get(name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
+
+async fn answer_batched(
+    engine: &Arc<SharedEngine>,
+    connection: ConnectionHandle,
+    headers: &HeaderMap,
+    request: &ChatRequest,
+    record: SeenRequest,
+) -> Response {
+    let submitted = engine.state().submit(request, record, Instant::now());
+    let events = match submitted {
+        Ok(events) => events,
+        Err(refusal) => return refusal.into_response(),
+    };
+    engine.work.notify_one();
+    let events = EventSource {
+        events,
+        engine: Arc::clone(engine),
+    };
+    let plan = AnswerPlan::new(engine, headers, request, engine.options.default_tokens);
+    if request.stream {
+        return stream_answer(engine, connection, plan, events);
+    }
+    match whole_answer(&plan, events).await {
+        Some(response) => response,
+        None => {
+            connection.cut();
+            std::future::pending().await
+        }
+    }
+}
+
+/// Output of the batch; dropping it makes the batch look for cancelled requests.
+struct EventSource {
+    events: UnboundedReceiver<OutputEvent>,
+    engine: Arc<SharedEngine>,
+}
+
+impl Drop for EventSource {
+    fn drop(&mut self) {
+        self.events.close();
+        self.engine.work.notify_one();
+    }
+}
+
+async fn whole_answer(plan: &AnswerPlan, mut source: EventSource) -> Option<Response> {
+    loop {
+        match source.events.recv().await? {
+            OutputEvent::Token(_) => {}
+            OutputEvent::Done { cached_tokens } => return Some(plan.whole(cached_tokens)),
+        }
+    }
+}
+
+struct StreamState {
+    plan: AnswerPlan,
+    source: EventSource,
+    faults: FaultKnobs,
+    connection: ConnectionHandle,
+    given: u64,
+    done: bool,
+}
+
+impl StreamState {
+    async fn next_chunk(&mut self) -> io::Result<Option<Bytes>> {
+        if self.done {
+            return Ok(None);
+        }
+        let event = self.source.events.recv().await;
+        match self.faults.stream_fault(self.given) {
+            StreamFault::None => {}
+            StreamFault::Stall => return std::future::pending().await,
+            StreamFault::Cut => {
+                self.connection.cut();
+                return std::future::pending().await;
+            }
+        }
+        match event {
+            Some(OutputEvent::Token(index)) => {
+                self.given += 1;
+                let mut chunk = String::with_capacity(self.plan.template.chunk_bytes());
+                self.plan.template.push_token(self.plan.output, index, &mut chunk);
+                Ok(Some(chunk.into()))
+            }
+            Some(OutputEvent::Done { cached_tokens }) => {
+                self.done = true;
+                Ok(Some(self.plan.end(cached_tokens).into()))
+            }
+            None => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+        }
+    }
+}
+
+fn stream_answer(
+    engine: &SharedEngine,
+    connection: ConnectionHandle,
+    plan: AnswerPlan,
+    source: EventSource,
+) -> Response {
+    let faults = engine.faults.clone();
+    let state = StreamState {
+        plan,
+        source,
+        faults,
+        connection,
+        given: 0,
+        done: false,
+    };
+    let chunks = stream::try_unfold(state, |mut state| async move {
+        let chunk = state.next_chunk().await?;
+        Ok::<_, io::Error>(chunk.map(|chunk| (chunk, state)))
+    });
+    event_stream(Body::from_stream(chunks))
+}
+
+fn answer_burst(
+    engine: &SharedEngine,
+    headers: &HeaderMap,
+    request: &ChatRequest,
+    record: SeenRequest,
+) -> Response {
+    let plan = AnswerPlan::new(engine, headers, request, engine.options.default_tokens);
+    engine.state().note_request(SeenRequest {
+        model: Some(request.model.clone()),
+        prompt_tokens: plan.usage.prompt_tokens,
+        output_tokens: plan.usage.completion_tokens,
+        resumed_tokens: plan.resumed_tokens,
+        outcome: RequestOutcome::Finished,
+        ..record
+    });
+    if !request.stream {
+        return plan.whole(0);
+    }
+    let frame = engine.options.burst_frame_tokens.max(1);
+    let total = plan.usage.completion_tokens;
+    let start = plan.resumed_tokens;
+    let frames = stream::unfold((plan, Some(start)), move |(plan, next)| async move {
+        let next = next?;
+        if next >= total {
+            return Some((Ok::<_, Infallible>(Bytes::from(plan.end(0))), (plan, None)));
+        }
+        let end = total.min(next + frame);
+        let mut chunks = String::with_capacity(plan.template.chunk_bytes() * (end - next) as usize);
+        for index in next..end {
+            plan.template.push_token(plan.output, index, &mut chunks);
+        }
+        Some((Ok(Bytes::from(chunks)), (plan, Some(end))))
+    });
+    event_stream(Body::from_stream(frames))
+}
+
+fn event_stream(body: Body) -> Response {
+    let kind = HeaderValue::from_static("text/event-stream");
+    ([(header::CONTENT_TYPE, kind)], body).into_response()
+}
--- /dev/null
+++ b/marigoldlock_standin/src/engine/state.rs
@@ -0,0 +1,346 @@
+//! State of an engine: batch, cache, role, models, and the orders that change them.
+//!
+//! Nothing here waits. Changes that take time end when the state is next looked at after their time.
+
+use std::time::Duration;
+
+use marigoldlock_wire::engine::{
+    CacheEvents, ChatRequest, EngineAction, EngineOrder, EngineRole, KvTransfer, LoadReport, prefix_hashes,
+    prompt_tokens,
+};
+use marigoldlock_wire::ids::{Incarnation, ModelId};
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::time::Instant;
+
+use super::batch::{OutputEvent, RequestBatch, Submission, step_seconds};
+use super::cache::PrefixCache;
+use super::options::EngineOptions;
+use super::refusal::EngineRefusal;
+use super::seen::{EngineSeen, RequestOutcome, SeenLog, SeenRequest};
+use super::text::expected_text;
+use crate::load::LoadHistory;
+
+/// Change that ends at a time.
+#[derive(Debug)]
+struct PendingChange {
+    ends_at: Instant,
+    action: EngineAction,
+}
+
+/// State of an engine.
+#[derive(Debug)]
+pub(super) struct EngineState {
+    options: EngineOptions,
+    incarnation: Incarnation,
+    role: EngineRole,
+    models: Vec<ModelId>,
+    adapters: Vec<String>,
+    version: Option<String>,
+    draining: bool,
+    away: Option<PendingChange>,
+    loading: Vec<PendingChange>,
+    batch: RequestBatch,
+    cache: PrefixCache,
+    load: LoadHistory,
+    seen: SeenLog,
+}
+
+impl EngineState {
+    /// Freshly started engine.
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let incarnation = options.incarnation.unwrap_or_else(|| Incarnation(rand::random()));
+        let mut state = Self {
+            incarnation,
+            role: options.role,
+            models: options.models.clone(),
+            adapters: Vec::new(),
+            version: None,
+            draining: false,
+            away: None,
+            loading: Vec::new(),
+            batch: RequestBatch::default(),
+            cache: PrefixCache::default(),
+            load: LoadHistory::new(options.load_lag_ms),
+            seen: SeenLog::default(),
+            options,
+        };
+        state.note_load(Instant::now());
+        state
+    }
+
+    /// Starts again: whatever ran is cut, and only what the options say is left.
+    pub(super) fn restart(&mut self, now: Instant) {
+        self.batch.cut_all(&mut self.seen);
+        self.cache = PrefixCache::default();
+        self.incarnation = Incarnation(self.incarnation.0.wrapping_add(1));
+        self.role = self.options.role;
+        self.models = self.options.models.clone();
+        self.adapters.clear();
+        self.version = None;
+        self.draining = false;
+        self.away = None;
+        self.loading.clear();
+        self.load = LoadHistory::new(self.options.load_lag_ms);
+        self.note_load(now);
+    }
+
+    /// Queues a request; its output comes over the channel.
+    ///
+    /// # Errors
+    ///
+    /// If the engine does not take the request; nothing has run then.
+    pub(super) fn submit(
+        &mut self,
+        request: &ChatRequest,
+        mut record: SeenRequest,
+        now: Instant,
+    ) -> Result<UnboundedReceiver<OutputEvent>, EngineRefusal> {
+        self.settle(now);
+        let blocks = prefix_hashes(&request.messages);
+        let prompt_tokens = prompt_tokens(&request.messages);
+        let output_tokens = request.max_tokens.unwrap_or(self.options.default_tokens);
+        let resumed_tokens = request.resume.as_ref().map_or(0, |resume| resume.tokens);
+        record.model = Some(request.model.clone());
+        record.prompt_tokens = prompt_tokens;
+        record.output_tokens = output_tokens;
+        record.resumed_tokens = resumed_tokens;
+        if let Some(refusal) = self.refusal(request, &blocks, prompt_tokens, output_tokens) {
+            record.outcome = RequestOutcome::Refused;
+            self.seen.add_request(record);
+            return Err(refusal);
+        }
+        if let Some(resume) = &request.resume {
+            record.resume_differs = resume.text != expected_text(&request.messages, resume.tokens);
+        }
+        let priority = record.priority;
+        let index = self.seen.add_request(record);
+        let (output, events) = mpsc::unbounded_channel();
+        self.batch.submit(Submission {
+            index,
+            priority,
+            blocks,
+            prompt_tokens,
+            resumed_tokens,
+            output_tokens,
+            output,
+        });
+        self.note_load(now);
+        Ok(events)
+    }
+
+    /// Begins a step of the batch and gives its length; `None` if there is nothing to do.
+    pub(super) fn begin_step(&mut self, now: Instant) -> Option<Duration> {
+        self.settle(now);
+        let step = self
+            .batch
+            .begin_step(&self.options, &mut self.cache, &mut self.seen);
+        if step.is_none() {
+            self.note_load(now);
+        }
+        step
+    }
+
+    /// Ends the step.
+    pub(super) fn end_step(&mut self, now: Instant) {
+        self.batch.end_step(&mut self.cache, &mut self.seen, now);
+        let room = self
+            .options
+            .kv_total_tokens
+            .saturating_sub(self.batch.kv_tokens());
+        self.cache.shrink(room, now);
+        self.note_load(now);
+    }
+
+    /// Takes an order; false if it was refused for its fencing number.
+    pub(super) fn order(&mut self, order: EngineOrder, time_ms: u64, now: Instant) -> bool {
+        self.settle(now);
+        let action = order.action.clone();
+        let accepted = self.seen.add_order(order, self.options.check_fence, time_ms);
+        if accepted {
+            self.begin_change(action, now);
+            self.note_load(now);
+        }
+        accepted
+    }
+
+    /// Load as readers get it.
+    pub(super) fn load_report(&mut self, now: Instant) -> LoadReport {
+        self.settle(now);
+        self.load.report(now)
+    }
+
+    /// Cache events as readers get them.
+    pub(super) fn cache_events(&self, from: u64, now: Instant) -> CacheEvents {
+        let lag = Duration::from_millis(self.options.event_lag_ms);
+        let (events, next) = self.cache.events(from, lag, self.options.event_gap, now);
+        CacheEvents {
+            incarnation: self.incarnation,
+            next,
+            events,
+        }
+    }
+
+    /// The leading blocks of a prefix that are cached here.
+    pub(super) fn export(&mut self, wanted: &KvTransfer) -> KvTransfer {
+        let tokens = self.cache.touch_prefix(&wanted.prefixes);
+        let cached = self.cache.count_prefix(&wanted.prefixes);
+        KvTransfer {
+            prefixes: wanted.prefixes[..cached].to_vec(),
+            tokens,
+        }
+    }
+
+    /// Caches blocks that another engine exported.
+    pub(super) fn import(&mut self, transfer: &KvTransfer, now: Instant) {
+        self.cache.store(&transfer.prefixes, now);
+        let room = self
+            .options
+            .kv_total_tokens
+            .saturating_sub(self.batch.kv_tokens());
+        self.cache.shrink(room, now);
+        self.note_load(now);
+    }
+
+    /// What the engine saw so far.
+    pub(super) fn seen(&self) -> EngineSeen {
+        self.seen.seen()
+    }
+
+    /// Adds a request that is answered outside of the batch.
+    pub(super) fn note_request(&mut self, record: SeenRequest) -> u64 {
+        self.seen.add_request(record)
+    }
+
+    /// Role, models, adapters and version, as they are now.
+    pub(super) fn setup(&mut self, now: Instant) -> EngineSetup {
+        self.settle(now);
+        EngineSetup {
+            role: self.role,
+            models: self.models.clone(),
+            adapters: self.adapters.clone(),
+            version: self.version.clone(),
+            draining: self.draining,
+            changing: self.away.is_some(),
+        }
+    }
+
+    fn refusal(
+        &self,
+        request: &ChatRequest,
+        blocks: &[u64],
+        prompt_tokens: u64,
+        output_tokens: u64,
+    ) -> Option<EngineRefusal> {
+        let context = prompt_tokens.saturating_add(output_tokens);
+        let limit = self.options.context_tokens.min(self.options.kv_total_tokens);
+        if context > limit {
+            return Some(EngineRefusal::TooLong);
+        }
+        if !self.models.is_empty() && !self.models.contains(&request.model) {
+            return Some(EngineRefusal::UnknownModel);
+        }
+        if self.away.is_some() {
+            return Some(EngineRefusal::Changing);
+        }
+        if self.draining {
+            return Some(EngineRefusal::Draining);
+        }
+        if self.batch.queued() >= self.options.queue_limit {
+            return Some(EngineRefusal::QueueFull);
+        }
+        let cached = self.cache.count_prefix(blocks) * marigoldlock_wire::engine::CACHE_BLOCK_TOKENS;
+        let uncached = prompt_tokens.saturating_sub(cached as u64);
+        let fits = match self.role {
+            EngineRole::Mixed => true,
+            EngineRole::Prefill => output_tokens <= 1,
+            EngineRole::Decode => uncached <= self.options.decode_prompt_tokens,
+        };
+        (!fits).then_some(EngineRefusal::WrongRole)
+    }
+
+    fn begin_change(&mut self, action: EngineAction, now: Instant) {
+        match action {
+            EngineAction::SetRole(_) | EngineAction::SetVersion(_) => {
+                self.batch.cut_all(&mut self.seen);
+                self.cache = PrefixCache::default();
+                let ends_at = now + Duration::from_millis(self.options.change_ms);
+                self.away = Some(PendingChange { ends_at, action });
+            }
+            EngineAction::LoadModel(_) => {
+                let ends_at = self.options.weights.load(now);
+                self.loading.push(PendingChange { ends_at, action });
+            }
+            EngineAction::LoadAdapter(_) => {
+                let ends_at = now + Duration::from_millis(self.options.adapter_ms);
+                self.loading.push(PendingChange { ends_at, action });
+            }
+            EngineAction::Drain => self.draining = true,
+            EngineAction::Undrain => self.draining = false,
+        }
+    }
+
+    fn settle(&mut self, now: Instant) {
+        let mut ended: Vec<PendingChange> = self
+            .loading
+            .extract_if(.., |change| change.ends_at <= now)
+            .collect();
+        ended.extend(self.away.take_if(|change| change.ends_at <= now));
+        for change in ended {
+            self.end_change(change.action);
+            self.note_load(change.ends_at);
+        }
+    }
+
+    fn end_change(&mut self, action: EngineAction) {
+        match action {
+            EngineAction::SetRole(role) => self.role = role,
+            EngineAction::SetVersion(version) => self.version = Some(version),
+            EngineAction::LoadModel(model) if !self.models.contains(&model) => self.models.push(model),
+            EngineAction::LoadAdapter(adapter) if !self.adapters.contains(&adapter) => {
+                self.adapters.push(adapter);
+            }
+            EngineAction::LoadModel(_)
+            | EngineAction::LoadAdapter(_)
+            | EngineAction::Drain
+            | EngineAction::Undrain => {}
+        }
+    }
+
+    fn note_load(&mut self, now: Instant) {
+        let running = self.batch.running();
+        let speed = 1.0 / step_seconds(&self.options, self.batch.decoding());
+        let figures = LoadReport {
+            incarnation: self.incarnation,
+            role: self.role,
+            changing: self.away.is_some(),
+            running: running as u32,
+            queued: self.batch.queued() as u32,
+            prefill_backlog_tokens: self.batch.prefill_backlog(),
+            kv_used_tokens: self.batch.kv_tokens() + self.cache.tokens(),
+            kv_total_tokens: self.options.kv_total_tokens,
+            prefill_tokens_per_s: self.options.prefill_tokens_per_s,
+            decode_tokens_per_s: speed,
+            slots: self.options.slots,
+            models: self.models.clone(),
+            ..LoadReport::default()
+        };
+        self.load.note(figures, now);
+    }
+}
+
+/// What an engine is set up for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSetup {
+    /// Role.
+    pub role: EngineRole,
+    /// Models loaded.
+    pub models: Vec<ModelId>,
+    /// Adapters loaded.
+    pub adapters: Vec<String>,
+    /// Version, once one was ordered.
+    pub version: Option<String>,
+    /// True while no new work is taken by order.
+    pub draining: bool,
+    /// True while a change takes the engine away.
+    pub changing: bool,
+}
--- a/marigoldlock_standin/src/faults.rs
+++ b/marigoldlock_standin/src/faults/mod.rs
@@ -4,134 +4,15 @@
 //! `PUT /_standin/faults`; `GET` shows the current one. Paths under `/_standin/` are never subject to it,
 //! apart from a stand-in that is gone.
 
+mod plan;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// How many calls a fault applies to.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum CallBudget {
-    /// No call.
-    #[default]
-    None,
-    /// The next so many calls.
-    Next(u64),
-    /// Every call until the plan is replaced.
-    Every,
-}
-
-impl CallBudget {
-    fn take(&mut self) -> bool {
-        match self {
-            Self::None | Self::Next(0) => false,
-            Self::Next(left) => {
-                *left -= 1;
-                true
-            }
-            Self::Every => true,
-        }
-    }
-}
-
-/// How an outage shows.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum OutageKind {
-    /// Calls get 503 at once.
-    #[default]
-    Refuse,
-    /// Calls are read and never answered.
-    Stall,
-    /// The listener and all connections are closed.
-    Vanish,
-}
-
-/// Span of time in which a stand-in is out of service.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct OutageWindow {
-    /// Start, in milliseconds after the plan was set.
-    #[serde(default)]
-    pub from_ms: u64,
-    /// Length, in milliseconds.
-    pub for_ms: u64,
-    /// How it shows.
-    #[serde(default)]
-    pub kind: OutageKind,
-}
-
-/// What goes wrong at a stand-in.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct FaultPlan {
-    /// Method of the calls that the call faults apply to; `None` for all.
-    pub method: Option<String>,
-    /// Start of the path of the calls that the call faults apply to; `None` for all.
-    pub path: Option<String>,
-    /// Delay before the effect, in milliseconds.
-    pub delay_ms: u64,
-    /// Delay between the effect and the answer, in milliseconds.
-    pub answer_delay_ms: u64,
-    /// Calls that are refused with 503 before any effect.
-    pub refuse: CallBudget,
-    /// Calls that are read and never answered, without effect; the connection stays open.
-    pub stall: CallBudget,
-    /// Calls that take effect, then lose their connection without an answer.
-    pub drop_answer: CallBudget,
-    /// Calls that take effect and are never answered; the connection stays open.
-    pub stall_answer: CallBudget,
-    /// Streamed answers fall silent after so many tokens; the connection stays open.
-    pub stall_stream_after: Option<u64>,
-    /// Streamed answers lose their connection after so many tokens.
-    pub cut_stream_after: Option<u64>,
-    /// Spans of time out of service.
-    pub outages: Vec<OutageWindow>,
-    /// The listener and all connections are closed until the plan is replaced in process.
-    pub gone: bool,
-    /// Vanish now, and come back after so many milliseconds with a new incarnation.
-    pub restart_ms: Option<u64>,
-}
-
-impl FaultPlan {
-    fn covers(&self, method: &str, path: &str) -> bool {
-        let method_fits = self
-            .method
-            .as_deref()
-            .is_none_or(|wanted| wanted.eq_ignore_ascii_case(method));
-        let path_fits = self.path.as_deref().is_none_or(|wanted| path.starts_with(wanted));
-        method_fits && path_fits
-    }
-
-    fn outage_at(&self, elapsed_ms: u64) -> Option<OutageKind> {
-        self.outages
-            .iter()
-            .find(|window| elapsed_ms >= window.from_ms && elapsed_ms - window.from_ms < window.for_ms)
-            .map(|window| window.kind)
-    }
-
-    fn next_boundary(&self, elapsed_ms: u64) -> Option<u64> {
-        let starts = self.outages.iter().map(|window| window.from_ms);
-        let ends = self
-            .outages
-            .iter()
-            .map(|window| window.from_ms.saturating_add(window.for_ms));
-        let restart = self.restart_ms;
-        starts
-            .chain(ends)
-            .chain(restart)
-            .filter(|boundary| *boundary > elapsed_ms)
-            .min()
-    }
-
-    fn absent_at(&self, elapsed_ms: u64) -> bool {
-        self.gone
-            || self.restart_ms.is_some_and(|restart| elapsed_ms < restart)
-            || self.outage_at(elapsed_ms) == Some(OutageKind::Vanish)
-    }
-}
+pub use self::plan::{CallBudget, FaultPlan, OutageKind, OutageWindow};
 
 /// What is to happen to one call.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -167,6 +48,19 @@
     pub absent: bool,
     /// Grows with every restart.
     pub restarts: u64,
+    /// Grows whenever the open connections fall silent.
+    pub silences: u64,
+}
+
+/// What is to happen to a streamed answer at its next token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamFault {
+    /// Nothing.
+    None,
+    /// It falls silent; the connection stays open.
+    Stall,
+    /// Its connection is closed.
+    Cut,
 }
 
 #[derive(Debug)]
@@ -189,7 +83,7 @@
         let set_at = Instant::now();
         let presence = Presence {
             absent: plan.absent_at(0),
-            restarts: 0,
+            ..Presence::default()
         };
         let state = KnobState {
             plan,
@@ -205,14 +99,17 @@
     /// Replaces the plan; its windows are counted from now.
     pub fn set(&self, plan: FaultPlan) {
         let restarted = plan.restart_ms.is_some();
+        let silenced = plan.silence_open;
         {
             let mut state = self.state();
             state.plan = plan;
             state.set_at = Instant::now();
             state.generation += 1;
         }
-        self.changed
-            .send_modify(|presence| presence.restarts += u64::from(restarted));
+        self.changed.send_modify(|presence| {
+            presence.restarts += u64::from(restarted);
+            presence.silences += u64::from(silenced);
+        });
         self.refresh();
     }
 
@@ -220,6 +117,7 @@
     pub fn update(&self, change: impl FnOnce(&mut FaultPlan)) {
         let mut plan = self.plan();
         plan.restart_ms = None;
+        plan.silence_open = false;
         change(&mut plan);
         self.set(plan);
     }
@@ -259,6 +157,19 @@
         }
     }
 
+    /// What happens to a streamed answer that has given so many tokens.
+    pub fn stream_fault(&self, given: u64) -> StreamFault {
+        let state = self.state();
+        let reached = |limit: Option<u64>| limit.is_some_and(|limit| given >= limit);
+        if reached(state.plan.cut_stream_after) {
+            return StreamFault::Cut;
+        }
+        match reached(state.plan.stall_stream_after) {
+            true => StreamFault::Stall,
+            false => StreamFault::None,
+        }
+    }
+
     /// Watches whether the stand-in can be reached.
     pub fn presence(&self) -> watch::Receiver<Presence> {
         self.changed.subscribe()
--- /dev/null
+++ b/marigoldlock_standin/src/faults/plan.rs
@@ -0,0 +1,173 @@
+//! What goes wrong at a stand-in, as it is set over HTTP or in process.
+
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// How many calls a fault applies to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallBudget {
+    /// No call.
+    #[default]
+    None,
+    /// The next so many calls.
+    Next(u64),
+    /// Every call until the plan is replaced.
+    Every,
+}
+
+impl CallBudget {
+    pub(super) fn take(&mut self) -> bool {
+        match self {
+            Self::None | Self::Next(0) => false,
+            Self::Next(left) => {
+                *left -= 1;
+                true
+            }
+            Self::Every => true,
+        }
+    }
+}
+
+impl FromStr for CallBudget {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "none" => Ok(Self::None),
+            "every" => Ok(Self::Every),
+            number => number.parse().map(Self::Next),
+        }
+    }
+}
+
+/// Text that is no outage window.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("expected <from ms>:<length ms>:<refuse|stall|vanish>")]
+pub struct WindowFormatError;
+
+/// How an outage shows.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutageKind {
+    /// Calls get 503 at once.
+    #[default]
+    Refuse,
+    /// Calls are read and never answered.
+    Stall,
+    /// The listener and all connections are closed.
+    Vanish,
+}
+
+/// Span of time in which a stand-in is out of service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OutageWindow {
+    /// Start, in milliseconds after the plan was set.
+    #[serde(default)]
+    pub from_ms: u64,
+    /// Length, in milliseconds.
+    pub for_ms: u64,
+    /// How it shows.
+    #[serde(default)]
+    pub kind: OutageKind,
+}
+
+impl FromStr for OutageWindow {
+    type Err = WindowFormatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split(':');
+        let (Some(from), Some(length), kind, None) = (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(WindowFormatError);
+        };
+        let kind = match kind {
+            None | Some("refuse") => OutageKind::Refuse,
+            Some("stall") => OutageKind::Stall,
+            Some("vanish") => OutageKind::Vanish,
+            Some(_) => return Err(WindowFormatError),
+        };
+        let from_ms = from.parse().map_err(|_| WindowFormatError)?;
+        let for_ms = length.parse().map_err(|_| WindowFormatError)?;
+        Ok(Self {
+            from_ms,
+            for_ms,
+            kind,
+        })
+    }
+}
+
+/// What goes wrong at a stand-in.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultPlan {
+    /// Method of the calls that the call faults apply to; `None` for all.
+    pub method: Option<String>,
+    /// Start of the path of the calls that the call faults apply to; `None` for all.
+    pub path: Option<String>,
+    /// Delay before the effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Delay between the effect and the answer, in milliseconds.
+    pub answer_delay_ms: u64,
+    /// Calls that are refused with 503 before any effect.
+    pub refuse: CallBudget,
+    /// Calls that are read and never answered, without effect; the connection stays open.
+    pub stall: CallBudget,
+    /// Calls that take effect, then lose their connection without an answer.
+    pub drop_answer: CallBudget,
+    /// Calls that take effect and are never answered; the connection stays open.
+    pub stall_answer: CallBudget,
+    /// Streamed answers fall silent after so many tokens; the connection stays open.
+    pub stall_stream_after: Option<u64>,
+    /// Streamed answers lose their connection after so many tokens.
+    pub cut_stream_after: Option<u64>,
+    /// Connections that are open now fall silent for good; new ones work.
+    pub silence_open: bool,
+    /// Spans of time out of service.
+    pub outages: Vec<OutageWindow>,
+    /// The listener and all connections are closed until the plan is replaced in process.
+    pub gone: bool,
+    /// Vanish now, and come back after so many milliseconds with a new incarnation.
+    pub restart_ms: Option<u64>,
+}
+
+impl FaultPlan {
+    pub(super) fn covers(&self, method: &str, path: &str) -> bool {
+        let method_fits = self
+            .method
+            .as_deref()
+            .is_none_or(|wanted| wanted.eq_ignore_ascii_case(method));
+        let path_fits = self.path.as_deref().is_none_or(|wanted| path.starts_with(wanted));
+        method_fits && path_fits
+    }
+
+    pub(super) fn outage_at(&self, elapsed_ms: u64) -> Option<OutageKind> {
+        self.outages
+            .iter()
+            .find(|window| elapsed_ms >= window.from_ms && elapsed_ms - window.from_ms < window.for_ms)
+            .map(|window| window.kind)
+    }
+
+    pub(super) fn next_boundary(&self, elapsed_ms: u64) -> Option<u64> {
+        let starts = self.outages.iter().map(|window| window.from_ms);
+        let ends = self
+            .outages
+            .iter()
+            .map(|window| window.from_ms.saturating_add(window.for_ms));
+        let restart = self.restart_ms;
+        starts
+            .chain(ends)
+            .chain(restart)
+            .filter(|boundary| *boundary > elapsed_ms)
+            .min()
+    }
+
+    pub(super) fn absent_at(&self, elapsed_ms: u64) -> bool {
+        self.gone
+            || self.restart_ms.is_some_and(|restart| elapsed_ms < restart)
+            || self.outage_at(elapsed_ms) == Some(OutageKind::Vanish)
+    }
+}
--- a/marigoldlock_standin/src/lib.rs
+++ b/marigoldlock_standin/src/lib.rs
@@ -8,17 +8,24 @@
 pub mod clock;
 pub mod engine;
 pub mod faults;
+pub mod fence;
+mod headers;
 pub mod list;
+mod load;
 pub mod log;
+pub mod ordering;
 pub mod server;
 pub mod service;
+pub mod usage;
 
 pub mod prelude {
     //! The types that nearly every user of a stand-in needs.
 
     pub use crate::engine::{EngineOptions, EngineStandin, expected_text};
     pub use crate::faults::{CallBudget, FaultKnobs, FaultPlan};
-    pub use crate::list::{ListOptions, ListStandin};
+    pub use crate::list::{ListHandle, ListOptions, ListStandin};
     pub use crate::log::{LogOptions, LogStandin};
+    pub use crate::ordering::{LocalHost, OrderingOptions, OrderingStandin, UpstreamTemplate};
     pub use crate::service::{ServiceOptions, ServiceStandin};
+    pub use crate::usage::{UsageOptions, UsageStandin};
 }
--- a/marigoldlock_standin/src/list.rs
+++ b/marigoldlock_standin/src/list.rs
@@ -4,6 +4,7 @@
 //! `GET /v1/instances` gets the list as it was some time ago.
 
 use std::collections::VecDeque;
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use axum::http::StatusCode;
 use axum::routing::{get, put};
 use axum::{Json, Router};
+use futures::FutureExt;
+use futures::future::{self, BoxFuture};
 use marigoldlock_wire::platform::{InstanceList, ListEntry, ListState};
 use tokio::time::Instant;
 
@@ -104,6 +107,27 @@
     }
 }
 
+/// Where machines are listed: this stand-in in process, or one that is reached over HTTP.
+pub trait ListTarget: Debug + Send + Sync {
+    /// Adds an entry, or replaces the one with its id.
+    fn set(&self, entry: ListEntry) -> BoxFuture<'_, eyre::Result<()>>;
+
+    /// Removes an entry, if there is one with the id.
+    fn remove<'a>(&'a self, id: &'a str) -> BoxFuture<'a, eyre::Result<()>>;
+}
+
+impl ListTarget for ListHandle {
+    fn set(&self, entry: ListEntry) -> BoxFuture<'_, eyre::Result<()>> {
+        Self::set(self, entry);
+        future::ready(Ok(())).boxed()
+    }
+
+    fn remove<'a>(&'a self, id: &'a str) -> BoxFuture<'a, eyre::Result<()>> {
+        Self::remove(self, id);
+        future::ready(Ok(())).boxed()
+    }
+}
+
 /// Versions of the list that a reader may still get, oldest first; never empty.
 #[derive(Debug)]
 struct ListHistory {
--- a/marigoldlock_standin/src/server.rs
+++ b/marigoldlock_standin/src/server.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -58,6 +59,7 @@
 pub struct StandinServer {
     address: SocketAddr,
     stop: CancellationToken,
+    stopped: CancellationToken,
     task: JoinHandle<()>,
 }
 
@@ -81,6 +83,7 @@
         let layer = FaultLayer {
             faults: faults.clone(),
             loss,
+            stop: stop.clone(),
         };
         let accept = AcceptLoop {
             address,
@@ -89,8 +92,19 @@
             connections: CancellationToken::new(),
             tracker: TaskTracker::new(),
         };
-        let task = tokio::spawn(accept.run(listener, stop.clone()));
-        Ok(Self { address, stop, task })
+        let stopped = CancellationToken::new();
+        let ended = stopped.clone().drop_guard();
+        let run = accept.run(listener, stop.clone());
+        let task = tokio::spawn(async move {
+            let _ended = ended;
+            run.await;
+        });
+        Ok(Self {
+            address,
+            stop,
+            stopped,
+            task,
+        })
     }
 
     /// Address that the server listens on.
@@ -98,6 +112,12 @@
         self.address
     }
 
+    /// Closes the listener and all connections, and keeps the rest.
+    pub async fn stop(&self) {
+        self.stop.cancel();
+        self.stopped.cancelled().await;
+    }
+
     /// Closes the listener and all connections.
     pub async fn close(self) {
         self.stop.cancel();
@@ -136,6 +156,7 @@
             let Presence {
                 absent,
                 restarts: seen,
+                ..
             } = *presence.borrow_and_update();
             if absent || seen != restarts {
                 restarts = seen;
@@ -183,20 +204,50 @@
         });
         let connection =
             hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let silenced = next_change(self.faults.presence(), |presence| presence.silences);
         self.tracker.spawn(async move {
+            // A silent connection is held open and never polled again.
             tokio::select! {
                 biased;
-                () = token.cancelled() => {},
-                _ = connection => {},
+                () = token.cancelled() => return,
+                () = silenced => {},
+                _ = connection => return,
             }
+            token.cancelled().await;
         });
     }
 }
 
+async fn next_change(mut presence: watch::Receiver<Presence>, count: fn(&Presence) -> u64) {
+    let before = count(&presence.borrow());
+    let changed = presence
+        .wait_for(|presence| count(presence) != before)
+        .await
+        .is_ok();
+    if !changed {
+        std::future::pending().await
+    }
+}
+
 #[derive(Clone)]
 struct FaultLayer {
     faults: FaultKnobs,
     loss: CallerLoss,
+    stop: CancellationToken,
+}
+
+impl FaultLayer {
+    /// Ends when the stand-in stops or is restarted; what runs then is lost.
+    fn crash(&self) -> impl Future<Output = ()> + Send + 'static {
+        let stop = self.stop.clone();
+        let restart = next_change(self.faults.presence(), |presence| presence.restarts);
+        async move {
+            tokio::select! {
+                () = stop.cancelled() => {},
+                () = restart => {},
+            }
+        }
+    }
 }
 
 fn with_faults(routes: Router, layer: FaultLayer) -> Router {
@@ -239,10 +290,17 @@
     let call = run_call(request, next, fault, connection);
     match layer.loss {
         CallerLoss::Cancel => call.await,
-        CallerLoss::Finish => match tokio::spawn(call).await {
-            Ok(response) => response,
-            Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-        },
+        CallerLoss::Finish => {
+            let crash = layer.crash();
+            let call = tokio::spawn(async move {
+                tokio::select! {
+                    () = crash => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+                    response = call => response,
+                }
+            });
+            call.await
+                .unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+        }
     }
 }
 
--- a/marigoldlock_standin/src/service.rs
+++ b/marigoldlock_standin/src/service.rs
@@ -11,15 +11,18 @@
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, State};
 use axum::http::{HeaderMap, Method, Uri};
-use axum::response::Response;
 use axum::routing::get;
 use axum::{Json, Router};
 use marigoldlock_wire::FastMap;
 use marigoldlock_wire::engine::{LoadReport, REQUEST_ID_HEADER};
 use marigoldlock_wire::ids::Incarnation;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::faults::{FaultKnobs, FaultPlan};
+use crate::headers::{header_texts, text_header};
+use crate::load::LoadHistory;
 use crate::server::{CallerLoss, StandinServer};
 
 /// Header with the key of a call that may not be repeated.
@@ -32,8 +35,10 @@
     pub listen: SocketAddr,
     /// Time that a call takes, in milliseconds; its effect stands at the start.
     pub work_ms: u64,
-    /// Calls side by side, as the load report states them.
+    /// Calls side by side; the others wait, without effect.
     pub slots: u32,
+    /// How old the figures of a load report are, in milliseconds.
+    pub load_lag_ms: u64,
     /// What goes wrong from the start.
     pub faults: FaultPlan,
 }
@@ -44,6 +49,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             work_ms: 0,
             slots: 32,
+            load_lag_ms: 0,
             faults: FaultPlan::default(),
         }
     }
@@ -101,14 +107,8 @@
     ///
     /// If the address can't be bound.
     pub async fn start(options: ServiceOptions) -> eyre::Result<Self> {
-        let faults = FaultKnobs::new(options.faults);
-        let shared = Arc::new(SharedService {
-            work: Duration::from_millis(options.work_ms),
-            slots: options.slots,
-            faults: faults.clone(),
-            base: rand::random(),
-            state: Mutex::default(),
-        });
+        let faults = FaultKnobs::new(options.faults.clone());
+        let shared = Arc::new(SharedService::new(&options, faults.clone()));
         let routes = routes(Arc::clone(&shared));
         let server = StandinServer::start(options.listen, routes, &faults, CallerLoss::Finish).await?;
         Ok(Self {
@@ -133,45 +133,81 @@
         self.shared.seen()
     }
 
+    /// Closes the listener and all connections, and keeps what was seen.
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+
     /// Closes the listener and all connections.
     pub async fn close(self) {
         self.server.close().await;
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ServiceState {
     calls: Vec<SeenCall>,
     by_key: FastMap<String, u64>,
     running: u32,
-    reports: u64,
+    queued: u32,
+    load: LoadHistory,
 }
 
 #[derive(Debug)]
 struct SharedService {
     work: Duration,
     slots: u32,
+    room: Semaphore,
     faults: FaultKnobs,
     base: u64,
     state: Mutex<ServiceState>,
 }
 
 impl SharedService {
+    fn new(options: &ServiceOptions, faults: FaultKnobs) -> Self {
+        let state = ServiceState {
+            calls: Vec::new(),
+            by_key: FastMap::default(),
+            running: 0,
+            queued: 0,
+            load: LoadHistory::new(options.load_lag_ms),
+        };
+        let service = Self {
+            work: Duration::from_millis(options.work_ms),
+            slots: options.slots,
+            room: Semaphore::new(options.slots as usize),
+            faults,
+            base: rand::random(),
+            state: Mutex::new(state),
+        };
+        service.note_load(&mut service.state());
+        service
+    }
+
     fn state(&self) -> MutexGuard<'_, ServiceState> {
         self.state.lock().expect("no panic while held")
     }
 
-    fn begin(&self, call: &SeenCall) -> u64 {
-        let mut state = self.state();
-        let index = state.calls.len() as u64;
-        state.calls.push(call.clone());
-        if let Some(key) = &call.key {
-            *state.by_key.entry(key.clone()).or_default() += 1;
+    /// Runs a call once there is room, and gives its place among those that ran.
+    async fn run(&self, call: &SeenCall) -> u64 {
+        self.change(|state| state.queued += 1);
+        let room = self.room.acquire().await;
+        let index = self.change(|state| state.begin(call));
+        if !self.work.is_zero() {
+            tokio::time::sleep(self.work).await;
         }
-        state.running += 1;
+        self.change(|state| state.running -= 1);
+        drop(room);
         index
     }
 
+    fn change<T>(&self, edit: impl FnOnce(&mut ServiceState) -> T) -> T {
+        let mut state = self.state();
+        let outcome = edit(&mut state);
+        self.note_load(&mut state);
+        outcome
+    }
+
     fn seen(&self) -> SeenCalls {
         let state = self.state();
         let duplicates = state
@@ -186,18 +222,29 @@
         }
     }
 
-    fn load(&self) -> LoadReport {
+    fn note_load(&self, state: &mut ServiceState) {
         let restarts = self.faults.presence().borrow().restarts;
-        let mut state = self.state();
-        state.reports += 1;
-        LoadReport {
+        let figures = LoadReport {
             incarnation: Incarnation(self.base.wrapping_add(restarts)),
-            sequence: state.reports,
-            running: state.running.min(self.slots),
-            queued: state.running.saturating_sub(self.slots),
+            running: state.running,
+            queued: state.queued,
             slots: self.slots,
             ..LoadReport::default()
+        };
+        state.load.note(figures, Instant::now());
+    }
+}
+
+impl ServiceState {
+    fn begin(&mut self, call: &SeenCall) -> u64 {
+        let index = self.calls.len() as u64;
+        self.calls.push(call.clone());
+        if let Some(key) = &call.key {
+            *self.by_key.entry(key.clone()).or_default() += 1;
         }
+        self.queued -= 1;
+        self.running += 1;
+        index
     }
 }
 
@@ -211,7 +258,10 @@
 }
 
 async fn show_load(State(service): State<Arc<SharedService>>) -> Json<LoadReport> {
-    Json(service.load())
+    // A restart shows in the incarnation at the latest when somebody asks.
+    service.change(|_| ());
+    let report = service.state().load.report(Instant::now());
+    Json(report)
 }
 
 async fn show_seen(State(service): State<Arc<SharedService>>) -> Json<SeenCalls> {
@@ -224,7 +274,7 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
-) -> Result<Json<EchoAnswer>, Response> {
+) -> Json<EchoAnswer> {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let call = SeenCall {
         method: method.to_string(),
@@ -233,30 +283,12 @@
         request_id: text_header(&headers, REQUEST_ID_HEADER),
         body_hash: blake3::hash(&body).to_hex().to_string(),
     };
-    let index = service.begin(&call);
-    if !service.work.is_zero() {
-        tokio::time::sleep(service.work).await;
-    }
-    service.state().running -= 1;
+    let index = service.run(&call).await;
     let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Json(EchoAnswer {
+    Json(EchoAnswer {
         index,
         call,
         headers: header_texts(&headers),
         body,
-    }))
-}
-
-fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?;
-    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
-}
-
-fn header_texts(headers: &HeaderMap) -> BTreeMap<String, Vec<String>> {
-    let mut texts: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for (name, value) in headers {
-        let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
-        texts.entry(name.to_string()).or_default().push(text);
-    }
-    texts
+    })
 }
