--- a/marigoldlock/src/calls/mod.rs
+++ b/marigoldlock/src/calls/mod.rs
@@ -9,6 +9,6 @@
 mod service;
 
 pub use home::{BeginCall, BeginReply, HomeActor, HomeHandle};
-pub(crate) use runner::http_headers;
 pub use runner::{CallRequest, CallRunner};
+pub(crate) use runner::{failed, http_headers};
 pub use service::CallService;
--- a/marigoldlock/src/dispatch/lease.rs
+++ b/marigoldlock/src/dispatch/lease.rs
@@ -13,6 +13,7 @@
 
 use super::actor::{AttemptKey, Choose, DispatchActor, FinishAttempt, NoteFirstToken, NoteProgress};
 use super::admit::{AdmissionRefusal, Admit, AdmitPermit, CustomerTerms};
+use super::peers::{ListUpstreams, UpstreamStatus};
 use super::work::WorkItem;
 
 /// Way to the dispatch actor.
@@ -101,6 +102,15 @@
         }
     }
 
+    /// All upstreams, by name.
+    pub async fn upstreams(&self) -> Vec<UpstreamStatus> {
+        self.actor
+            .ask(ListUpstreams)
+            .await
+            .map(|list| list.0)
+            .unwrap_or_default()
+    }
+
     /// The actor itself.
     pub fn actor(&self) -> &ActorRef<DispatchActor> {
         &self.actor
--- a/marigoldlock/src/dispatch/mod.rs
+++ b/marigoldlock/src/dispatch/mod.rs
@@ -14,5 +14,5 @@
 pub use actor::{DispatchActor, DispatchSources, UpdateCache, UpdateList, UpdateLoad};
 pub use admit::{AdmissionRefusal, AdmitPermit, CustomerTerms, Tick};
 pub use lease::{AttemptLease, DispatchHandle};
-pub use peers::{LoadSummary, OwnLoad, RemovePeer, UpdatePeer};
+pub use peers::{ListUpstreams, LoadSummary, OwnLoad, RemovePeer, UpdatePeer, UpstreamStatus};
 pub use work::WorkItem;
--- /dev/null
+++ b/marigoldlock/src/front/forwarded.rs
@@ -0,0 +1,63 @@
+//! Calls that another instance forwarded to the home of their key.
+
+use std::sync::Arc;
+
+use axum::http::Method;
+use marigoldlock_core::settings::ServiceKind;
+use marigoldlock_wire::peer::{CallAnswer, ForwardedCall};
+use marigoldlock_wire::prelude::*;
+
+use super::context::FrontContext;
+use super::plain::work_item;
+use super::target::RequestTarget;
+use crate::calls::{CallRequest, failed, http_headers};
+
+/// Runs a forwarded call, or tells what became of it.
+///
+/// The forwarding instance has checked the caller's key; here the call only needs its service.
+pub async fn serve_forwarded(context: &FrontContext, forwarded: ForwardedCall) -> CallAnswer {
+    match call_request(context, &forwarded) {
+        Ok(call) => {
+            context
+                .calls
+                .run_here(forwarded.home, &forwarded.idempotency_key, &call)
+                .await
+        }
+        Err(code) => failed(code, None),
+    }
+}
+
+fn call_request(context: &FrontContext, forwarded: &ForwardedCall) -> Result<CallRequest, ResultCode> {
+    let settings = context.settings.active();
+    let service = settings
+        .service(forwarded.service.as_str())
+        .filter(|service| service.kind == ServiceKind::Plain)
+        .ok_or(ResultCode::UnknownService)?;
+    let customer = match &forwarded.customer {
+        Some(customer) => Some(
+            settings
+                .customer(customer.as_str())
+                .ok_or(ResultCode::ServiceNotAllowed)?,
+        ),
+        None => None,
+    };
+    let headers = http_headers(&forwarded.headers);
+    let target = RequestTarget::new(
+        &settings,
+        Arc::clone(service),
+        customer.cloned(),
+        &headers,
+        &context.data_centre,
+    );
+    let target = target.map_err(|rejection| rejection.code)?;
+    let method = Method::from_bytes(forwarded.method.as_bytes()).map_err(|_| ResultCode::MethodNotAllowed)?;
+    Ok(CallRequest {
+        work: Arc::new(work_item(forwarded.request, &target)),
+        terms: target.terms(),
+        patience: target.patience,
+        method,
+        path: forwarded.path.clone(),
+        headers,
+        body: forwarded.body.clone(),
+    })
+}
--- a/marigoldlock/src/front/mod.rs
+++ b/marigoldlock/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod chat;
 mod context;
+mod forwarded;
 mod guarded_stream;
 mod headers;
 mod plain;
@@ -17,6 +18,7 @@
 
 pub use addresses::{AddressAnswer, AddressEntry};
 pub use context::{FrontContext, FrontLimits, FrontParts};
+pub use forwarded::serve_forwarded;
 pub(crate) use headers::end_to_end;
 pub use headers::{CLASS_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
 pub use reject::{CODE_HEADER, EXECUTION_HEADER, Rejection};
--- a/marigoldlock/src/front/plain.rs
+++ b/marigoldlock/src/front/plain.rs
@@ -105,8 +105,21 @@
 }
 
 fn call_request(id: RequestId, target: &RequestTarget, parts: &Parts, body: Bytes) -> CallRequest {
-    let work = WorkItem {
-        request: id,
+    CallRequest {
+        work: Arc::new(work_item(id, target)),
+        terms: target.terms(),
+        patience: target.patience,
+        method: parts.method.clone(),
+        path: upstream_path(parts, target.service.name.as_str()),
+        headers: end_to_end(&parts.headers),
+        body,
+    }
+}
+
+/// A call to a plain service as routing sees it.
+pub(super) fn work_item(request: RequestId, target: &RequestTarget) -> WorkItem {
+    WorkItem {
+        request,
         customer: target.customer_id(),
         service: target.service.name.clone(),
         model: None,
@@ -116,15 +129,6 @@
         output_tokens: 0,
         cheap_allowed: target.cheap_allowed,
         data_centres: target.data_centres(),
-    };
-    CallRequest {
-        work: Arc::new(work),
-        terms: target.terms(),
-        patience: target.patience,
-        method: parts.method.clone(),
-        path: upstream_path(parts, target.service.name.as_str()),
-        headers: end_to_end(&parts.headers),
-        body,
     }
 }
 
