--- a/marigoldlock_core/src/calls/home.rs
+++ b/marigoldlock_core/src/calls/home.rs
@@ -1,8 +1,8 @@
 //! What the home of a key remembers.
 //!
 //! The home's memory is bounded, so it must forget, and a forgotten key must not run again. Keys are
-//! therefore kept by generation: each has a home token of its own, and addresses are given out with the newest.
-//! A generation is forgotten whole, after which its token is nobody's home and its keys are answered as
+//! therefore kept by generation: each has a home token of its own, derived from the incarnation, and addresses
+//! are given out with the newest. A generation is forgotten whole, after which its token is nobody's home and its keys are answered as
 //! unknown.
 
 use std::collections::VecDeque;
@@ -13,8 +13,12 @@
 use marigoldlock_wire::record::calls::{CallHash, RequestPrint};
 
 use super::key::CallName;
+use crate::membership::{MAX_HOME_GENERATIONS, home_token};
 use crate::prelude::*;
 
+/// Generations, each with its share of the keys, that fill the table.
+const GENERATIONS_FILLING_TABLE: usize = 4;
+
 /// Bounds of a home's memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HomeLimits {
@@ -114,6 +118,8 @@
 /// The calls whose home is this instance.
 #[derive(Debug)]
 pub struct HomeTable {
+    incarnation: Incarnation,
+    begun: u64,
     limits: HomeLimits,
     generations: VecDeque<Generation>,
     per_customer: FastMap<Option<CustomerId>, usize>,
@@ -124,9 +130,11 @@
 }
 
 impl HomeTable {
-    /// An empty table whose first home token is `home`.
-    pub fn new(home: Incarnation, limits: HomeLimits, now: MonoTime) -> Self {
+    /// The empty table of an incarnation.
+    pub fn new(incarnation: Incarnation, limits: HomeLimits, now: MonoTime) -> Self {
         let mut table = Self {
+            incarnation,
+            begun: 0,
             limits,
             generations: VecDeque::new(),
             per_customer: FastMap::default(),
@@ -135,7 +143,7 @@
             next_run: 0,
             leaving: false,
         };
-        table.rotate(home, now);
+        table.begin_generation(now);
         table
     }
 
@@ -154,28 +162,11 @@
         self.homes().any(|known| known == home)
     }
 
-    /// True once a new token should be drawn and given to [`Self::rotate`].
-    pub fn wants_rotation(&self, now: MonoTime) -> bool {
-        let newest = self.generations.back().expect("a table has a generation");
-        now.since(newest.begun) >= self.limits.generation || newest.calls.len() * 4 >= self.limits.keys
-    }
-
-    /// Begins a generation with a fresh token.
-    pub fn rotate(&mut self, home: Incarnation, now: MonoTime) {
-        if let Some(newest) = self.generations.back_mut() {
-            newest.retired = Some(now);
+    /// Begins a generation when the newest is old or full enough, and forgets old ones that run nothing.
+    pub fn tick(&mut self, now: MonoTime) {
+        if self.wants_generation(now) {
+            self.begin_generation(now);
         }
-        self.generations.push_back(Generation {
-            home,
-            begun: now,
-            retired: None,
-            calls: FastMap::default(),
-            running: 0,
-        });
-    }
-
-    /// Forgets the generations that are old enough and have nothing running.
-    pub fn expire(&mut self, now: MonoTime) {
         while self
             .generations
             .front()
@@ -262,6 +253,27 @@
         true
     }
 
+    fn wants_generation(&self, now: MonoTime) -> bool {
+        let newest = self.generations.back().expect("a table has a generation");
+        let is_old = now.since(newest.begun) >= self.limits.generation;
+        let is_full = newest.calls.len() * GENERATIONS_FILLING_TABLE >= self.limits.keys;
+        (is_old || is_full) && self.begun < MAX_HOME_GENERATIONS
+    }
+
+    fn begin_generation(&mut self, now: MonoTime) {
+        if let Some(newest) = self.generations.back_mut() {
+            newest.retired = Some(now);
+        }
+        self.generations.push_back(Generation {
+            home: home_token(self.incarnation, self.begun),
+            begun: now,
+            retired: None,
+            calls: FastMap::default(),
+            running: 0,
+        });
+        self.begun += 1;
+    }
+
     fn begin_new(
         &mut self,
         home: Incarnation,
@@ -381,7 +393,7 @@
 }
 
 /// Memory that a kept answer takes, in bytes.
-fn answer_bytes(answer: &CallAnswer) -> usize {
+pub(super) fn answer_bytes(answer: &CallAnswer) -> usize {
     match answer {
         CallAnswer::Answered { headers, body, .. } => {
             let headers: usize = headers.iter().map(|(name, value)| name.len() + value.len()).sum();
--- a/marigoldlock_core/src/membership/tests.rs
+++ b/marigoldlock_core/src/membership/tests.rs
@@ -99,6 +99,14 @@
     assert_eq!(table.state_of(Incarnation(1 << 32)), Some(MemberState::Gone));
     table.on_list(&list(1, &[("own", "a"), ("b", "a")]), at(501));
     assert!(table.get("b").is_none(), "an older list is dropped");
+    assert_eq!(
+        table.on_heartbeat(&heartbeat("b", 1, 2), at(502)),
+        HeartbeatStep::Ended
+    );
+    assert!(
+        table.get("b").is_none(),
+        "a late heartbeat does not bring it back"
+    );
 }
 
 #[test]
--- a/marigoldlock_wire/src/record/calls.rs
+++ b/marigoldlock_wire/src/record/calls.rs
@@ -49,6 +49,8 @@
 pub struct ClaimOutcome {
     /// Which call.
     pub call: CallHash,
+    /// Which request under the key; tells it also after the claim's record has expired.
+    pub print: RequestPrint,
     /// Position of the claim that won.
     pub claim: LogPosition,
     /// Number of this part, from 0.
