Tell home tokens and losses of members

Cause: the address answer must give another instance's newest home token, and a plain key is not run without the log only if no member was lost meanwhile. Change: Heartbeat.home at its end, MemberTable::lost and farthest_calls, calls::peer_logs.

--- a/marigoldlock_core/src/calls/log_down.rs
+++ b/marigoldlock_core/src/calls/log_down.rs
@@ -1,5 +1,8 @@
 //! What a plain key that this instance does not know can be told while the log does not answer.
 
+use std::time::Duration;
+
+use crate::membership::{MemberState, MemberTable};
 use crate::prelude::*;
 
 /// What a member last told about its reading of the calls stream.
@@ -26,3 +29,36 @@
         ResultCode::ClaimUnconfirmed
     }
 }
+
+/// What the members tell, for [`log_down_code`].
+///
+/// `fresh` is when this instance last asked the log and was answered in full; `silent` is the age of a member's
+/// last read of the log from which the log counts as down for it. A member lost since then may have run calls
+/// that this instance can't have read of.
+pub fn peer_logs(members: &MemberTable, fresh: MonoTime, silent: Duration) -> Vec<PeerLog> {
+    let unproven = PeerLog {
+        position: LogPosition(u64::MAX),
+        is_down: false,
+    };
+    let mut logs: Vec<_> = members
+        .iter()
+        .filter(|member| member.state != MemberState::Gone)
+        .map(|member| {
+            if !member.is_reachable() {
+                return unproven;
+            }
+            PeerLog {
+                position: member.calls_position,
+                is_down: u128::from(member.log_age_ms) >= silent.as_millis(),
+            }
+        })
+        .collect();
+    logs.push(PeerLog {
+        position: members.farthest_calls(),
+        is_down: true,
+    });
+    if members.lost().is_some_and(|lost| lost >= fresh) {
+        logs.push(unproven);
+    }
+    logs
+}
--- a/marigoldlock_core/src/calls/mod.rs
+++ b/marigoldlock_core/src/calls/mod.rs
@@ -21,6 +21,6 @@
 pub use claim::{ClaimFold, ClaimLimits, ClaimState, FoldStep};
 pub use home::{CallOutcome, CallTicket, HomeDecision, HomeLimits, HomeTable};
 pub use key::{CallKey, CallName, KeyError, MAX_KEY_BYTES, request_print};
-pub use log_down::{PeerLog, log_down_code};
+pub use log_down::{PeerLog, log_down_code, peer_logs};
 pub use plain::{PlainDecision, PlainEffect, PlainLimits, PlainTable, outcome_records};
 pub use route::HomeRoute;
--- a/marigoldlock_core/src/calls/plain.rs
+++ b/marigoldlock_core/src/calls/plain.rs
@@ -110,6 +110,12 @@
         self.own
     }
 
+    /// When a call that this instance claimed may still be sent, at the latest.
+    pub fn send_by(&self, call: CallHash) -> Option<MonoTime> {
+        let open = self.open.get(&call)?;
+        Some(open.claimed + self.limits.send_within)
+    }
+
     /// What the stream says.
     pub fn fold(&self) -> &ClaimFold {
         &self.fold
--- a/marigoldlock_core/src/membership/address.rs
+++ b/marigoldlock_core/src/membership/address.rs
@@ -21,7 +21,7 @@
 pub struct AddressEntry {
     /// The instance.
     pub instance: InstanceId,
-    /// Its first home token, if it is known.
+    /// The home token that it gives out, if it is known.
     pub incarnation: Option<Incarnation>,
     /// Its data centre.
     pub data_centre: DataCentre,
@@ -98,7 +98,7 @@
 fn entry(member: &MemberEntry) -> AddressEntry {
     AddressEntry {
         instance: member.instance.clone(),
-        incarnation: member.incarnation,
+        incarnation: member.home,
         data_centre: member.data_centre.clone(),
         address: member.address.clone(),
     }
--- a/marigoldlock_core/src/membership/member.rs
+++ b/marigoldlock_core/src/membership/member.rs
@@ -86,6 +86,8 @@
     pub log_age_ms: u64,
     /// Position up to which it has read the calls stream.
     pub calls_position: LogPosition,
+    /// Home token that it gives out now; `None` while it is only listed.
+    pub home: Option<Incarnation>,
     pub(super) started_ms: u64,
     pub(super) sequence: u64,
     pub(super) listed: Option<ListState>,
@@ -109,6 +111,7 @@
             settings_version: LogPosition::default(),
             log_age_ms: 0,
             calls_position: LogPosition::default(),
+            home: None,
             started_ms: 0,
             sequence: 0,
             listed: Some(entry.state),
@@ -132,6 +135,7 @@
             settings_version: LogPosition::default(),
             log_age_ms: 0,
             calls_position: LogPosition::default(),
+            home: None,
             started_ms: 0,
             sequence: 0,
             listed: None,
@@ -158,6 +162,12 @@
         self.settings_version = self.settings_version.max(heartbeat.settings_version);
         self.log_age_ms = heartbeat.log_age_ms;
         self.calls_position = self.calls_position.max(heartbeat.calls_position);
+        let is_own_token = home_generation(heartbeat.incarnation, heartbeat.home).is_some();
+        self.home = Some(if is_own_token {
+            heartbeat.home
+        } else {
+            heartbeat.incarnation
+        });
         self.heard = Some(now);
     }
 
--- a/marigoldlock_core/src/membership/table.rs
+++ b/marigoldlock_core/src/membership/table.rs
@@ -48,6 +48,8 @@
     list_version: Option<u64>,
     ticked: Option<MonoTime>,
     resumed: Option<MonoTime>,
+    lost: Option<MonoTime>,
+    farthest_calls: LogPosition,
 }
 
 impl MemberTable {
@@ -63,6 +65,8 @@
             list_version: None,
             ticked: None,
             resumed: None,
+            lost: None,
+            farthest_calls: LogPosition::default(),
         }
     }
 
@@ -109,11 +113,13 @@
             }
             Some(incarnation) => {
                 self.remember_gone(incarnation);
+                self.lost = Some(now);
                 self.join(heartbeat, now)
             }
             None => self.join(heartbeat, now),
         };
         if matches!(step, HeartbeatStep::Renewed | HeartbeatStep::Joined) {
+            self.farthest_calls = self.farthest_calls.max(heartbeat.calls_position);
             self.take_hearing(heartbeat, now);
         }
         step
@@ -140,6 +146,16 @@
         self.resumed
     }
 
+    /// When a member was last found to be silent, gone or restarted.
+    pub fn lost(&self) -> Option<MonoTime> {
+        self.lost
+    }
+
+    /// Farthest position in the calls stream that any member has told of, also one that is gone.
+    pub fn farthest_calls(&self) -> LogPosition {
+        self.farthest_calls
+    }
+
     /// The member with the name, gone or not.
     pub fn get(&self, instance: &str) -> Option<&MemberEntry> {
         self.members.get(instance)
@@ -279,7 +295,12 @@
     fn judge_all(&mut self, now: MonoTime) {
         let mut ended = Vec::new();
         for member in self.members.values_mut() {
+            let before = member.state;
             member.state = member.judge(&self.limits, now);
+            let is_lost = matches!(member.state, MemberState::Silent | MemberState::Gone);
+            if is_lost && before != member.state {
+                self.lost = Some(now);
+            }
             if member.state == MemberState::Gone {
                 ended.push(member.instance.clone());
             }
--- a/marigoldlock_wire/src/peer.rs
+++ b/marigoldlock_wire/src/peer.rs
@@ -18,6 +18,8 @@
     FetchSettings {
         /// The newest version that the sender has.
         after: LogPosition,
+        /// How long the receiver may wait for something newer, in milliseconds.
+        wait_ms: u64,
     },
 }
 
@@ -28,8 +30,8 @@
     Heartbeat(Box<Heartbeat>),
     /// Answer of a forwarded call.
     Call(Box<CallAnswer>),
-    /// Stored records of the settings stream after the version asked for.
-    Settings(Vec<SettingsRecord>),
+    /// Settings after the version asked for.
+    Settings(Box<SettingsNews>),
     /// The receiver can't serve the request.
     Refused {
         /// Why.
@@ -74,6 +76,8 @@
     pub hears: Vec<HeardPeer>,
     /// Position up to which the sender has read the calls stream.
     pub calls_position: LogPosition,
+    /// Home token that the sender gives out now.
+    pub home: Incarnation,
 }
 
 /// A peer that the sender of a heartbeat has heard lately.
@@ -134,6 +138,19 @@
     pub figure: crate::platform::UsageFigure,
 }
 
+/// What an instance has of the settings after a version.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct SettingsNews {
+    /// Version of the sender; it may be older than the one asked about.
+    pub version: LogPosition,
+    /// Age of the sender's evidence that it has the newest settings, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// The whole state in the format of a snapshot, where the records are no longer at hand.
+    pub image: Option<Bytes>,
+    /// Stored records after the version asked for.
+    pub records: Vec<SettingsRecord>,
+}
+
 /// Record of the settings stream, as one instance hands it to another.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SettingsRecord {
