Publish settings from the tool and the administration API; spread them by relays

FetchSettings has a wait, Settings carries the version, the age of the evidence and an image. A heartbeat's log age is now the age of the evidence, so that a follower of a relay does not look cut off, and a restarted instance can vouch in an outage.

--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -10,28 +10,34 @@
 use kameo::actor::{ActorRef, Spawn as _};
 use log::{info, warn};
 use marigoldlock_core::admission::{AdmissionControl, AdmissionParams};
+use marigoldlock_core::keys::FreshnessVerdict;
 use marigoldlock_core::membership::{MemberLimits, OwnIdentity};
 use marigoldlock_core::routing::{ExpectedCost, RouteParams, RouteTable};
+use marigoldlock_core::settings::SpreadMember;
 use marigoldlock_wire::peer::{PeerRequest, PeerResponse};
 use marigoldlock_wire::platform::InstanceList;
 use marigoldlock_wire::prelude::*;
-use marigoldlock_wire::record::SETTINGS_STREAM;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
+use crate::admin::{AdminContext, admin_router};
 use crate::calls::{CallRunner, CallService, HomeHandle};
 use crate::cli::InstanceOptions;
 use crate::clock::{BootClock, TimeSource};
 use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
-use crate::front::{ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router};
-use crate::log_stream::{FollowLimits, StreamFollower};
+use crate::front::{
+    ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router, serve_forwarded,
+};
 use crate::members::{
     HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, poll_list, poll_upstreams,
 };
 use crate::peer::{PeerHandler, PeerPool, PeerServer};
 use crate::platform::{HttpListClient, HttpLogClient, ListClient, LogClient};
-use crate::settings::{SettingsActor, SettingsHandle, SettingsSink, SettingsState};
+use crate::settings::{
+    NetworkPeers, SettingsActor, SettingsFollower, SettingsHandle, SettingsServer, SettingsState,
+    SnapshotWriter,
+};
 use crate::upstream::UpstreamClient;
 use crate::usage::UsageMeter;
 
@@ -83,7 +89,8 @@
         let (peer_server, peer_listener) = PeerServer::bind(options.peer_listen).await?;
         let peer_address = options.peer_advertise.unwrap_or(peer_server.address());
         let own = own_addresses(&options, clock.as_ref(), address, peer_address);
-        let parts = InstanceParts::build(&options, &own, log, clock);
+        let parts = InstanceParts::build(&options, &own, Arc::clone(&log), clock);
+        let admin = admin_context(&options, &own, &parts, log);
         let mut tasks = parts.tasks;
         let (feed, list_feed) = watch::channel(Arc::new(InstanceList::default()));
         let dispatch = parts.dispatch.clone();
@@ -96,11 +103,18 @@
         )));
         tasks.push(spawn(poll_upstreams(list_feed, options.poll(), dispatch)));
         tasks.push(spawn(Arc::clone(&parts.exchange).run(options.heartbeat())));
+        let settings = SettingsServer {
+            clock: Arc::clone(&parts.context.clock),
+            handle: parts.context.settings.clone(),
+            actor: parts.exchange.settings_actor.clone(),
+        };
         let handler = InstanceHandler {
+            context: Arc::clone(&parts.context),
             exchange: parts.exchange,
+            settings,
         };
         peer_server.serve(peer_listener, Arc::new(handler));
-        let router = front_router(Arc::clone(&parts.context));
+        let router = front_router(Arc::clone(&parts.context)).merge(admin_router(Arc::new(admin)));
         let front = FrontServer::start(listener, connection_limits(&options), router)?;
         info!(instance = options.name, address:%, peer_address:%; "instance started");
         let calls = parts.context.calls.tracker.clone();
@@ -133,7 +147,8 @@
     /// Waits until the settings are in force; false if that takes too long.
     pub async fn wait_ready(&self, timeout: Duration) -> bool {
         let settings = self.context.settings.clone();
-        let ready = settings.wait_for(|state| state.log_read.is_some());
+        let clock = &self.context.clock;
+        let ready = settings.wait_for(|state| state.verdict(clock.now()) == FreshnessVerdict::Serve);
         tokio::time::timeout(timeout, ready).await.unwrap_or(false)
     }
 
@@ -186,6 +201,23 @@
     }
 }
 
+fn admin_context(
+    options: &InstanceOptions,
+    own: &OwnAddresses,
+    parts: &InstanceParts,
+    log: Arc<dyn LogClient>,
+) -> AdminContext {
+    AdminContext {
+        instance: own.instance.clone(),
+        incarnation: own.incarnation,
+        clock: Arc::clone(&parts.context.clock),
+        settings: parts.context.settings.clone(),
+        settings_actor: parts.exchange.settings_actor.clone(),
+        log,
+        root_hash: options.admin_hash.as_deref().and_then(|hash| hash.parse().ok()),
+    }
+}
+
 fn connection_limits(options: &InstanceOptions) -> ConnectionLimits {
     ConnectionLimits {
         connections: options.max_connections,
@@ -211,7 +243,7 @@
         log: Arc<dyn LogClient>,
         clock: Arc<dyn TimeSource>,
     ) -> Self {
-        let (settings, settings_actor, follower) = start_settings(log, &clock);
+        let (settings, settings_actor) = start_settings();
         let dispatch = start_dispatch(&clock, &own.data_centre);
         let identity = OwnIdentity {
             instance: own.instance.clone(),
@@ -252,6 +284,7 @@
             leaving: Arc::clone(&leaving),
             sequence: AtomicU64::new(0),
         });
+        let tasks = Vec::from(follow_settings(own, log, &exchange));
         let context = FrontContext::new(FrontParts {
             name: own.instance.clone(),
             incarnation: own.incarnation,
@@ -274,20 +307,48 @@
             exchange,
             dispatch,
             members,
-            tasks: vec![follower],
+            tasks,
         }
     }
 }
 
-fn start_settings(
-    log: Arc<dyn LogClient>,
-    clock: &Arc<dyn TimeSource>,
-) -> (SettingsHandle, ActorRef<SettingsActor>, AbortHandle) {
+fn start_settings() -> (SettingsHandle, ActorRef<SettingsActor>) {
     let (sender, receiver) = watch::channel(SettingsState::default());
     let actor = SettingsActor::spawn_with_mailbox(sender, kameo::mailbox::unbounded());
-    let follower = StreamFollower::new(log, Arc::clone(clock), SETTINGS_STREAM, FollowLimits::default());
-    let task = spawn(follower.run(SettingsSink::new(actor.clone())));
-    (SettingsHandle::new(receiver), actor, task)
+    (SettingsHandle::new(receiver), actor)
+}
+
+/// Follows the settings and keeps their snapshots young.
+fn follow_settings(
+    own: &OwnAddresses,
+    log: Arc<dyn LogClient>,
+    exchange: &HeartbeatExchange,
+) -> [AbortHandle; 2] {
+    let peers = Arc::new(NetworkPeers::new(
+        exchange.members.clone(),
+        exchange.peers.clone(),
+    ));
+    let follower = SettingsFollower {
+        log: Arc::clone(&log),
+        peers: peers.clone(),
+        clock: Arc::clone(&exchange.clock),
+        handle: exchange.settings.clone(),
+        actor: exchange.settings_actor.clone(),
+        own: SpreadMember {
+            instance: own.instance.clone(),
+            data_centre: own.data_centre.clone(),
+        },
+    };
+    let writer = SnapshotWriter {
+        log,
+        peers,
+        clock: Arc::clone(&exchange.clock),
+        handle: exchange.settings.clone(),
+        actor: exchange.settings_actor.clone(),
+        instance: own.instance.clone(),
+        incarnation: own.incarnation,
+    };
+    [spawn(follower.run()), spawn(writer.run())]
 }
 
 fn start_dispatch(clock: &Arc<dyn TimeSource>, data_centre: &DataCentre) -> DispatchHandle {
@@ -306,7 +367,9 @@
 
 /// Serves the requests of peers.
 struct InstanceHandler {
+    context: Arc<FrontContext>,
     exchange: Arc<HeartbeatExchange>,
+    settings: SettingsServer,
 }
 
 #[async_trait]
@@ -314,10 +377,13 @@
     async fn handle(&self, request: PeerRequest) -> PeerResponse {
         match request {
             PeerRequest::Heartbeat(heartbeat) => self.exchange.answer(*heartbeat).await,
-            other => PeerResponse::Refused {
-                code: ResultCode::UnknownRoute,
-                detail: format!("{other:?}"),
-            },
+            PeerRequest::FetchSettings { after, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms);
+                PeerResponse::Settings(self.settings.answer(after, wait).await)
+            }
+            PeerRequest::ForwardCall(call) => {
+                PeerResponse::Call(Box::new(serve_forwarded(&self.context, *call).await))
+            }
         }
     }
 }
--- a/marigoldlock/src/lib.rs
+++ b/marigoldlock/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform's log ([`log_stream`]). This library holds everything but the argument parsing of the binary,
 //! so that the operators' tool can run several instances in one process.
 
+pub mod admin;
 pub mod calls;
 pub mod cli;
 pub mod clock;
--- a/marigoldlock/src/members/actor.rs
+++ b/marigoldlock/src/members/actor.rs
@@ -228,6 +228,8 @@
     pub data_centre: DataCentre,
     /// Address for callers.
     pub address: String,
+    /// Address for peers.
+    pub peer_address: String,
     /// State, in words.
     pub state: String,
     /// Whether it takes requests.
@@ -258,6 +260,7 @@
                 incarnation: member.incarnation,
                 data_centre: member.data_centre.clone(),
                 address: member.address.clone(),
+                peer_address: member.peer_address.clone(),
                 state: member.state.to_string().to_lowercase(),
                 ready: member.ready,
                 settings_version: member.settings_version,
--- a/marigoldlock/src/members/exchange.rs
+++ b/marigoldlock/src/members/exchange.rs
@@ -179,7 +179,7 @@
             leaving,
             ready: !leaving && state.verdict(now) == FreshnessVerdict::Serve,
             settings_version: state.active.version(),
-            log_age_ms: state.log_age(now).map_or(u64::MAX, |age| age.as_millis() as u64),
+            log_age_ms: state.age(now).map_or(u64::MAX, |age| age.as_millis() as u64),
             in_flight: load.loads,
             counters: load.counters,
             started_ms: self.own.started_ms,
--- a/marigoldlock/src/settings/actor.rs
+++ b/marigoldlock/src/settings/actor.rs
@@ -3,28 +3,31 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use bytes::Bytes;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use log::{info, warn};
 use marigoldlock_core::keys::OutageView;
-use marigoldlock_core::settings::{FoldOutcome, SettingsFold};
+use marigoldlock_core::settings::{FoldOutcome, SettingsFold, SettingsImage};
 use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::codec;
+use marigoldlock_wire::peer::SettingsNews;
 use marigoldlock_wire::prelude::*;
 use marigoldlock_wire::record::Envelope;
 use marigoldlock_wire::record::settings::SettingsChange;
 use tokio::sync::watch;
 
 use super::handle::SettingsState;
-use crate::log_stream::RecordSink;
-use crate::platform::LogError;
+use super::recent::RecentRecords;
+
+/// Age of a peer's evidence up to which it shows that the log can be read.
+pub(super) const FRESH_EVIDENCE: Duration = Duration::from_secs(2);
 
 /// Owner of the settings fold.
 pub struct SettingsActor {
     fold: SettingsFold,
+    recent: RecentRecords,
     state: watch::Sender<SettingsState>,
 }
 
@@ -35,31 +38,27 @@
     async fn on_start(state: Self::Args, _: ActorRef<Self>) -> Result<Self, Infallible> {
         Ok(Self {
             fold: SettingsFold::new(),
+            recent: RecentRecords::default(),
             state,
         })
     }
 }
 
-/// A record of the settings stream.
-pub struct FoldRecord {
-    /// Offset in the stream.
-    pub offset: u64,
-    /// The stored bytes.
-    pub data: Bytes,
-}
-
-impl Message<FoldRecord> for SettingsActor {
-    type Reply = ();
-
-    async fn handle(&mut self, record: FoldRecord, _: &mut Context<Self, ()>) {
-        match codec::decode::<Envelope<SettingsChange>>(&record.data) {
-            Ok(envelope) => self.fold_envelope(record.offset, &envelope),
-            Err(err) => warn!(offset = record.offset, error:% = err; "settings record skipped"),
+impl SettingsActor {
+    fn fold_record(&mut self, offset: u64, data: &Bytes) {
+        if offset < self.fold.version().offset() {
+            return;
         }
+        match codec::decode::<Envelope<SettingsChange>>(data) {
+            Ok(envelope) => self.fold_envelope(offset, &envelope),
+            Err(err) => {
+                warn!(offset, error:% = err; "settings record skipped");
+                self.fold.skip(offset);
+            }
+        }
+        self.recent.push(offset, data.clone());
     }
-}
 
-impl SettingsActor {
     fn fold_envelope(&mut self, offset: u64, envelope: &Envelope<SettingsChange>) {
         if let FoldOutcome::Folded(verdicts) = self.fold.apply_envelope(offset, envelope) {
             for (change, verdict) in envelope.records.iter().zip(verdicts) {
@@ -71,29 +70,152 @@
                 }
             }
         }
-        let active = self.fold.active();
-        self.state.send_modify(|state| state.active = active);
+    }
+
+    /// Takes over a whole state, if it is newer than the own one.
+    fn adopt(&mut self, fold: SettingsFold) {
+        if fold.version() > self.fold.version() {
+            info!(version:% = fold.version(); "settings taken from a snapshot");
+            self.recent.restart(fold.version().offset());
+            self.fold = fold;
+        }
+    }
+
+    fn adopt_image(&mut self, image: &[u8]) {
+        let restored = codec::decode::<SettingsImage>(image).map_err(|err| err.to_string());
+        match restored.and_then(|image| image.restore().map_err(|err| err.to_string())) {
+            Ok(fold) => self.adopt(fold),
+            Err(err) => warn!(error = err; "settings of a peer can't be read"),
+        }
+    }
+
+    fn publish(&self, note: impl FnOnce(&mut SettingsState)) {
+        let version = self.fold.version();
+        self.state.send_modify(|state| {
+            if state.active.version() != version {
+                state.active = self.fold.active();
+            }
+            note(state);
+        });
     }
 }
 
-/// The log was read to its head.
-pub struct NoteFresh {
-    /// When the read was asked for.
-    pub asked: MonoTime,
+/// Records that were read from the log.
+pub struct FoldBatch {
+    /// Offset and bytes of each record.
+    pub records: Vec<(u64, Bytes)>,
+    /// When the read was asked for, if it came up to the log's head.
+    pub fresh: Option<MonoTime>,
 }
 
-impl Message<NoteFresh> for SettingsActor {
+impl Message<FoldBatch> for SettingsActor {
     type Reply = ();
 
-    async fn handle(&mut self, note: NoteFresh, _: &mut Context<Self, ()>) {
-        self.state.send_modify(|state| {
-            state.evidence.note_log_read(note.asked);
-            state.log_read = Some(note.asked);
+    async fn handle(&mut self, batch: FoldBatch, _: &mut Context<Self, ()>) {
+        for (offset, data) in &batch.records {
+            self.fold_record(*offset, data);
+        }
+        self.publish(|state| {
+            if let Some(asked) = batch.fresh {
+                state.evidence.note_log_read(asked);
+            }
             state.log_failing = false;
         });
     }
 }
 
+/// State that was read from the log's snapshots.
+pub struct AdoptFold(pub Box<SettingsFold>);
+
+impl Message<AdoptFold> for SettingsActor {
+    type Reply = ();
+
+    async fn handle(&mut self, adopted: AdoptFold, _: &mut Context<Self, ()>) {
+        self.adopt(*adopted.0);
+        self.publish(|_| ());
+    }
+}
+
+/// Answer of a peer that was asked for settings.
+pub struct TakeNews {
+    /// When the peer was asked.
+    pub sent_at: MonoTime,
+    /// Its answer.
+    pub news: Box<SettingsNews>,
+}
+
+impl Message<TakeNews> for SettingsActor {
+    type Reply = ();
+
+    async fn handle(&mut self, taken: TakeNews, _: &mut Context<Self, ()>) {
+        let news = taken.news;
+        if let Some(image) = &news.image {
+            self.adopt_image(image);
+        }
+        for record in &news.records {
+            // A peer hands its records on without a gap; one that starts later belongs to another answer.
+            if record.offset == self.fold.version().offset() {
+                self.fold_record(record.offset, &record.data);
+            }
+        }
+        let own_version = self.fold.version();
+        let age = news.age_ms.map(Duration::from_millis);
+        self.publish(|state| {
+            if let Some(age) = age {
+                state
+                    .evidence
+                    .note_peer(taken.sent_at, age, news.version, own_version);
+                if age <= FRESH_EVIDENCE {
+                    state.log_failing = false;
+                }
+            }
+        });
+    }
+}
+
+/// Asks for what this instance has after a version.
+pub struct ReadNews {
+    /// The version that the asker has.
+    pub after: LogPosition,
+}
+
+impl Message<ReadNews> for SettingsActor {
+    type Reply = NewsReply;
+
+    async fn handle(&mut self, read: ReadNews, _: &mut Context<Self, NewsReply>) -> NewsReply {
+        let mut news = SettingsNews {
+            version: self.fold.version(),
+            ..SettingsNews::default()
+        };
+        if read.after < news.version {
+            match self.recent.after(read.after.offset()) {
+                Some(records) => news.records = records,
+                None => news.image = Some(codec::encode(&SettingsImage::of(&self.fold)).into()),
+            }
+        }
+        NewsReply(news)
+    }
+}
+
+/// Settings after a version; the age of the evidence is left to the asker.
+#[derive(kameo::Reply)]
+pub struct NewsReply(pub SettingsNews);
+
+/// Asks for a copy of the fold.
+pub struct CloneFold;
+
+impl Message<CloneFold> for SettingsActor {
+    type Reply = FoldCopy;
+
+    async fn handle(&mut self, _: CloneFold, _: &mut Context<Self, FoldCopy>) -> FoldCopy {
+        FoldCopy(self.fold.clone())
+    }
+}
+
+/// Copy of the fold.
+#[derive(kameo::Reply)]
+pub struct FoldCopy(pub SettingsFold);
+
 /// A peer's word on how fresh its settings are.
 pub struct NotePeer {
     /// When the peer was asked.
@@ -125,7 +247,10 @@
 
     async fn handle(&mut self, note: NoteView, _: &mut Context<Self, ()>) {
         self.state.send_modify(|state| {
-            state.view = note.0;
+            state.view = OutageView {
+                behind: state.view.behind,
+                ..note.0
+            };
             if state.log_failing {
                 state.view.confirming += 1;
             } else {
@@ -135,54 +260,29 @@
     }
 }
 
-/// The log could not be read.
-pub struct NoteFailure;
+/// Newest version that a visible member has.
+pub struct NoteNewest(pub LogPosition);
 
-impl Message<NoteFailure> for SettingsActor {
+impl Message<NoteNewest> for SettingsActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: NoteFailure, _: &mut Context<Self, ()>) {
-        self.state.send_modify(|state| state.log_failing = true);
-    }
-}
-
-/// Hands the stream's records to the actor.
-pub struct SettingsSink {
-    actor: ActorRef<SettingsActor>,
-}
-
-impl SettingsSink {
-    /// A sink in front of the actor.
-    pub fn new(actor: ActorRef<SettingsActor>) -> Self {
-        Self { actor }
-    }
-
-    async fn tell<M: Send + 'static>(&self, message: M)
-    where
-        SettingsActor: Message<M>,
-    {
-        if self.actor.tell(message).send().await.is_err() {
-            log::debug!("the settings actor has ended");
-        }
+    async fn handle(&mut self, newest: NoteNewest, _: &mut Context<Self, ()>) {
+        let behind = self.fold.version() < newest.0;
+        self.state.send_if_modified(|state| {
+            let changed = state.view.behind != behind;
+            state.view.behind = behind;
+            changed
+        });
     }
 }
 
-#[async_trait]
-impl RecordSink for SettingsSink {
-    async fn on_record(&mut self, offset: u64, data: Bytes) {
-        self.tell(FoldRecord { offset, data }).await;
-    }
-
-    async fn on_fresh(&mut self, asked: MonoTime, _head: u64) {
-        self.tell(NoteFresh { asked }).await;
-    }
+/// The log could not be read.
+pub struct NoteFailure;
 
-    async fn on_gap(&mut self, first: u64) {
-        warn!(first; "settings records expired before they were read");
-    }
+impl Message<NoteFailure> for SettingsActor {
+    type Reply = ();
 
-    async fn on_failure(&mut self, error: &LogError) {
-        warn!(error:% = error; "the settings stream can't be read");
-        self.tell(NoteFailure).await;
+    async fn handle(&mut self, _: NoteFailure, _: &mut Context<Self, ()>) {
+        self.state.send_modify(|state| state.log_failing = true);
     }
 }
--- a/marigoldlock/src/settings/handle.rs
+++ b/marigoldlock/src/settings/handle.rs
@@ -17,8 +17,6 @@
     pub evidence: SettingsEvidence,
     /// What the instances say about the log.
     pub view: OutageView,
-    /// When this instance's own last read to the log's head was asked for.
-    pub log_read: Option<MonoTime>,
     /// True if the last read of the log failed.
     pub log_failing: bool,
 }
@@ -30,11 +28,6 @@
         rule.verdict(now, &self.evidence, &self.view)
     }
 
-    /// Age of this instance's own last read to the log's head.
-    pub fn log_age(&self, now: MonoTime) -> Option<Duration> {
-        self.log_read.map(|read| now.since(read))
-    }
-
     /// Age of the evidence.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
         self.evidence.age(now)
--- a/marigoldlock_core/src/settings/active.rs
+++ b/marigoldlock_core/src/settings/active.rs
@@ -176,15 +176,38 @@
             })
     }
 
-    /// The operator with the token's hash, and its team; the fleet's operators have none.
-    pub fn operator(&self, hash: &KeyHash) -> Option<(Option<&TeamId>, &OperatorSettings)> {
-        let fleet = self.fleet().operators.values().map(|operator| (None, operator));
-        let teams = self.teams().flat_map(|(team, settings)| {
-            settings
-                .operators
-                .values()
-                .map(move |operator| (Some(team), operator.as_ref()))
+    /// The operator with the token's hash.
+    pub fn operator(&self, hash: &KeyHash) -> Option<KnownOperator<'_>> {
+        let of_fleet = self
+            .fleet()
+            .operators
+            .iter()
+            .map(|(name, settings)| KnownOperator {
+                name,
+                team: None,
+                settings,
+            });
+        let of_teams = self.teams().flat_map(|(team, team_settings)| {
+            let operators = team_settings.operators.iter();
+            operators.map(move |(name, settings)| KnownOperator {
+                name,
+                team: Some(team),
+                settings,
+            })
         });
-        fleet.chain(teams).find(|(_, operator)| operator.hash == *hash)
+        of_fleet
+            .chain(of_teams)
+            .find(|operator| operator.settings.hash == *hash)
     }
 }
+
+/// Operator that the settings name.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownOperator<'a> {
+    /// Name within the team or the fleet.
+    pub name: &'a str,
+    /// The operator's team; `None` for one of the fleet.
+    pub team: Option<&'a TeamId>,
+    /// The operator's settings.
+    pub settings: &'a OperatorSettings,
+}
--- a/marigoldlock_core/src/settings/mod.rs
+++ b/marigoldlock_core/src/settings/mod.rs
@@ -36,7 +36,7 @@
 
 pub use marigoldlock_wire::record::settings::SettingsChange;
 
-pub use self::active::ActiveSettings;
+pub use self::active::{ActiveSettings, KnownOperator};
 pub use self::customer::{CustomerSettings, KeySettings, OperatorSettings};
 pub use self::fleet::{FleetSettings, FreshnessSettings, ObjectiveWeights, SpreadSettings};
 pub use self::fold::{FoldOutcome, SettingsFold};
--- a/marigoldlock_wire/src/record.rs
+++ b/marigoldlock_wire/src/record.rs
@@ -18,6 +18,9 @@
 /// Stream of the settings.
 pub const SETTINGS_STREAM: &str = "settings";
 
+/// Stream of snapshots of the folded settings, written before the records that made them expire.
+pub const SETTINGS_SNAPSHOT_STREAM: &str = "settings-snapshots";
+
 /// Stream of authority, orders and usage.
 pub const CONTROL_STREAM: &str = "control";
 
