Replay the policy in virtual time

Cause: the decisions had no measurement against baselines. Change: marigoldctl load replay: seeded open-loop workloads over per-instance routing and admission, lagged reports, delayed peer exchange, placement and small engine models; experiments at the sizes of Pest and Santiago as TOML; results as JSON and SVG. A placement order names the role that an engine is drained for. Conclusion: policies can be compared on the same requests and faults.

--- /dev/null
+++ b/marigoldctl/src/load/attempts.rs
@@ -0,0 +1,353 @@
+//! Attempts: routing, delivery to the engines, tokens, and what breaks.
+
+use std::time::Duration;
+
+use marigoldlock_core::prelude::*;
+use marigoldlock_core::routing::{AttemptOutcome, RouteAsk, RouteDecision, RouteParams, WorkClass};
+use marigoldlock_wire::platform::CapacityKind;
+
+use super::engine::{EngineOutput, EngineWork};
+use super::fleet::MODEL;
+use super::flight::{AttemptKind, AttemptState, RequestPhase};
+use super::replay::{ReplayEvent, ReplayRun};
+use super::sequence::{from_ms, from_s};
+
+/// Time after which a request that no upstream can take is tried again.
+const REROUTE_MS: f64 = 100.0;
+
+/// Attempts after which a request is given up.
+const MOST_RETRIES: u32 = 10;
+
+/// How many times longer an attempt may be silent while its upstream answers others.
+const LIVE_PATIENCE: u64 = 12;
+
+impl ReplayRun<'_> {
+    /// Chooses an upstream for a started request and sends it there.
+    pub(super) fn route(&mut self, request: usize) {
+        if self.states[request].phase != RequestPhase::Running {
+            return;
+        }
+        let asked = &self.requests[request];
+        let stream = self.stream(request);
+        let state = &self.states[request];
+        let instance = &mut self.instances[state.instance];
+        let service: ServiceId = stream.service.as_str().into();
+        let model = ModelId::from(MODEL);
+        let ask = RouteAsk {
+            service: &service,
+            model: Some(&model),
+            prefixes: &asked.prefixes,
+            prompt_tokens: asked.prompt_tokens + state.tokens,
+            output_tokens: asked.output_tokens - state.tokens,
+            class: asked.class,
+            cheap_allowed: stream.cheap,
+            data_centres: &[],
+            exclude: &state.exclude,
+            local: &instance.data_centre,
+        };
+        let now = super::sequence::point(self.now);
+        let Ok(decision) = instance.table.choose(&ask, now) else {
+            self.reroute_later(request);
+            return;
+        };
+        let ticket = instance.table.on_sent(&decision, &ask, now);
+        let prefill = decision.prefill_at.clone();
+        let Some(upstream) = self.fleet.number(&decision.upstream) else {
+            return;
+        };
+        match prefill.and_then(|step| self.fleet.number(&step.upstream)) {
+            Some(first) => {
+                let prefill_id = self.fleet.upstreams[first].id.clone();
+                let left = ask.prompt_tokens;
+                let first_ticket = instance
+                    .table
+                    .on_sent_to(&prefill_id, &ask, left, decision.cost, now);
+                let wait = self.delay(request, first);
+                let kind = AttemptKind::Prefill(Box::new((decision, ticket)));
+                self.send(request, first, first_ticket, kind, 0, wait);
+            }
+            None => {
+                let (imported, copy) = self.kv_copy(request, &decision);
+                let wait = self.delay(request, upstream) + copy;
+                self.send(request, upstream, ticket, AttemptKind::Full, imported, wait);
+            }
+        }
+    }
+
+    /// Tokens and time of the KV copy that a decision asks for, if its source still has them.
+    fn kv_copy(&self, request: usize, decision: &RouteDecision) -> (u64, u64) {
+        let Some(step) = &decision.kv_from else {
+            return (0, 0);
+        };
+        let Some(source) = self.fleet.number(&step.upstream) else {
+            return (0, 0);
+        };
+        let source = &self.fleet.upstreams[source];
+        if !source.is_up() {
+            return (0, 0);
+        }
+        let tokens = source
+            .engine
+            .cached_tokens(&self.requests[request].prefixes)
+            .min(step.tokens);
+        (tokens, copy_time(tokens))
+    }
+
+    fn delay(&self, request: usize, upstream: usize) -> u64 {
+        let instance = &self.instances[self.states[request].instance];
+        if instance.data_centre == self.fleet.upstreams[upstream].data_centre {
+            return 100;
+        }
+        from_ms(self.experiment.entry.between_ms)
+    }
+
+    fn send(
+        &mut self,
+        request: usize,
+        upstream: usize,
+        ticket: marigoldlock_core::routing::AttemptTicket,
+        kind: AttemptKind,
+        imported: u64,
+        wait: u64,
+    ) {
+        let attempt = self.next_attempt;
+        self.next_attempt += 1;
+        let state = AttemptState {
+            request,
+            instance: self.states[request].instance,
+            upstream,
+            ticket: Some(ticket),
+            kind,
+            imported,
+            progress_at: self.now + wait,
+        };
+        self.attempts.insert(attempt, state);
+        self.schedule_in(wait, ReplayEvent::Deliver(attempt));
+    }
+
+    fn reroute_later(&mut self, request: usize) {
+        let state = &mut self.states[request];
+        state.exclude.clear();
+        let given_up = self.requests[request].arrival
+            + from_s(self.experiment.targets.deadline_s(self.requests[request].class));
+        if self.now > given_up {
+            self.finish(request, RequestPhase::Failed);
+            return;
+        }
+        self.schedule_in(from_ms(REROUTE_MS), ReplayEvent::Reroute(request));
+    }
+
+    /// Hands an attempt to its engine.
+    pub(super) fn on_deliver(&mut self, attempt: u64) {
+        let Some(state) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let (request, upstream) = (state.request, state.upstream);
+        if !self.fleet.upstreams[upstream].is_up() {
+            self.end_attempt(attempt, AttemptOutcome::Refused);
+            return;
+        }
+        let asked = &self.requests[request];
+        let done = self.states[request].tokens;
+        let output_tokens = match state.kind {
+            AttemptKind::Full => asked.output_tokens - done,
+            AttemptKind::Prefill(_) => 0,
+        };
+        let priority = if self.policy.priorities {
+            asked.class.index()
+        } else {
+            0
+        };
+        let stalled = self.is_stalled(request);
+        let work = EngineWork {
+            attempt,
+            priority,
+            prompt_tokens: asked.prompt_tokens + done,
+            imported_tokens: state.imported,
+            output_tokens,
+            prefixes: asked.prefixes.as_slice().into(),
+            stalled,
+        };
+        self.fleet.upstreams[upstream].engine.accept(work);
+        self.wake(upstream);
+    }
+
+    /// True if the request's stream stands still.
+    pub(super) fn is_stalled(&self, request: usize) -> bool {
+        let long = self.requests[request].class == WorkClass::Long;
+        long && self.stalled.contains(&self.stream(request).customer)
+    }
+
+    /// Lets an engine begin a step if it stands still.
+    pub(super) fn wake(&mut self, upstream: usize) {
+        let target = &mut self.fleet.upstreams[upstream];
+        if target.engine.stepping || !target.is_up() {
+            return;
+        }
+        let Some(length) = target.engine.begin_step() else {
+            return;
+        };
+        target.engine.stepping = true;
+        target.step += 1;
+        let step = target.step;
+        self.schedule_in(length, ReplayEvent::Step { upstream, step });
+    }
+
+    pub(super) fn on_step(&mut self, upstream: usize, step: u64) {
+        let target = &mut self.fleet.upstreams[upstream];
+        if target.step != step || !target.is_up() {
+            return;
+        }
+        target.engine.stepping = false;
+        if target.engine.silent {
+            return;
+        }
+        for output in target.engine.end_step() {
+            match output {
+                EngineOutput::Token { attempt, first } => self.on_token(attempt, first),
+                EngineOutput::Finished { attempt } => self.on_engine_finished(attempt),
+            }
+        }
+        self.wake(upstream);
+    }
+
+    fn on_token(&mut self, attempt: u64, first: bool) {
+        let Some(state) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        state.progress_at = self.now;
+        let now = super::sequence::point(self.now);
+        if let Some(ticket) = &state.ticket {
+            let table = &mut self.instances[state.instance].table;
+            if first {
+                table.on_first_token(ticket, now);
+            } else {
+                table.on_progress(ticket, now);
+            }
+        }
+        let request = &mut self.states[state.request];
+        request.tokens += 1;
+        if self.fleet.upstreams[state.upstream].capacity == CapacityKind::Cheap {
+            request.cheap_tokens += 1;
+        }
+        if request.first_at.is_some() {
+            let class = self.requests[state.request].class;
+            self.gaps.record(class, self.now - request.last_at);
+        } else {
+            request.first_at = Some(self.now);
+        }
+        request.last_at = self.now;
+    }
+
+    fn on_engine_finished(&mut self, attempt: u64) {
+        let Some(mut state) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.close_ticket(&mut state, AttemptOutcome::Answered);
+        match state.kind {
+            AttemptKind::Full => {
+                self.states[state.request].done_at = Some(self.now);
+                self.finish(state.request, RequestPhase::Answered);
+            }
+            AttemptKind::Prefill(next) => {
+                let (decision, ticket) = *next;
+                let Some(upstream) = self.fleet.number(&decision.upstream) else {
+                    return;
+                };
+                let tokens = self.requests[state.request].prompt_tokens + self.states[state.request].tokens;
+                let wait = copy_time(tokens) + self.delay(state.request, upstream);
+                self.send(state.request, upstream, ticket, AttemptKind::Full, tokens, wait);
+            }
+        }
+    }
+
+    fn close_ticket(&mut self, state: &mut AttemptState, outcome: AttemptOutcome) {
+        let now = self.time();
+        let table = &mut self.instances[state.instance].table;
+        if let Some(ticket) = state.ticket.take() {
+            table.on_done(ticket, outcome, now);
+        }
+    }
+
+    /// Ends an attempt without an answer and goes on elsewhere.
+    pub(super) fn end_attempt(&mut self, attempt: u64, outcome: AttemptOutcome) {
+        let Some(mut state) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.close_ticket(&mut state, outcome);
+        if let AttemptKind::Prefill(next) = std::mem::replace(&mut state.kind, AttemptKind::Full) {
+            let now = self.time();
+            self.instances[state.instance]
+                .table
+                .on_done(next.1, AttemptOutcome::Cancelled, now);
+        }
+        let upstream = &self.fleet.upstreams[state.upstream];
+        let cheap = upstream.capacity == CapacityKind::Cheap;
+        let gone = !upstream.is_up();
+        let request = &mut self.states[state.request];
+        request.retries += 1;
+        request.interrupted = true;
+        request.interrupted_on_cheap |= cheap && gone;
+        request.exclude.push(upstream.id.clone());
+        if request.retries > MOST_RETRIES {
+            self.finish(state.request, RequestPhase::Failed);
+            return;
+        }
+        self.route(state.request);
+    }
+
+    /// Breaks every attempt at an upstream.
+    pub(super) fn break_attempts(&mut self, upstream: usize) {
+        let target = &mut self.fleet.upstreams[upstream];
+        target.engine.restart();
+        target.engine.stepping = false;
+        target.step += 1;
+        let mut broken: Vec<u64> = self
+            .attempts
+            .iter()
+            .filter(|(_, state)| state.upstream == upstream)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        broken.sort_unstable();
+        for attempt in broken {
+            self.end_attempt(attempt, AttemptOutcome::Broken);
+        }
+    }
+
+    /// Gives up the instance's attempts that have been silent for too long.
+    ///
+    /// An attempt whose upstream answers others is only slow, so it gets more time; long work gets all of it.
+    pub(super) fn give_up_silent(&mut self, instance: usize) {
+        let limit = from_s(self.experiment.entry.silence_s);
+        let now = self.time();
+        let table = &self.instances[instance].table;
+        let silent = self.attempts.iter().filter(|(_, state)| {
+            let silence = self.now.saturating_sub(state.progress_at);
+            if state.instance != instance || silence <= limit {
+                return false;
+            }
+            let id = &self.fleet.upstreams[state.upstream].id;
+            let dead = table
+                .state(id)
+                .is_none_or(|seen| seen.silence(now).as_micros() as u64 > limit);
+            let patient = self.requests[state.request].class == WorkClass::Long;
+            dead || (!patient && silence > limit * LIVE_PATIENCE)
+        });
+        let mut silent: Vec<u64> = silent.map(|(attempt, _)| *attempt).collect();
+        silent.sort_unstable();
+        for attempt in silent {
+            let Some(state) = self.attempts.get(&attempt) else {
+                continue;
+            };
+            self.fleet.upstreams[state.upstream].engine.cancel(attempt);
+            self.end_attempt(attempt, AttemptOutcome::TimedOut);
+        }
+    }
+}
+
+/// Time of a KV copy, in microseconds; the same figures that routing reckons with.
+fn copy_time(tokens: u64) -> u64 {
+    let params = RouteParams::default();
+    let copy = params.kv_setup + Duration::from_secs_f64(tokens as f64 / params.kv_tokens_per_s);
+    copy.as_micros() as u64
+}
--- a/marigoldlock_core/src/placement/adaptive.rs
+++ b/marigoldlock_core/src/placement/adaptive.rs
@@ -95,6 +95,7 @@
             service: self.view.service.clone(),
             data_centre: self.view.data_centre.clone(),
             action,
+            planned_role: None,
             reason,
             gain,
         });
@@ -269,6 +270,9 @@
     ) {
         let change = EngineChange::begin(upstream.clone(), planned, round.now);
         round.order_engine(upstream, change.first_action(), reason, gain);
+        if let (PlannedChange::Role(role), Some(order)) = (&change.planned, round.orders.last_mut()) {
+            order.planned_role = Some(*role);
+        }
         self.change = Some(change);
     }
 }
--- a/marigoldlock_core/src/placement/types.rs
+++ b/marigoldlock_core/src/placement/types.rs
@@ -133,6 +133,8 @@
     pub data_centre: DataCentre,
     /// What to order.
     pub action: PlacementAction,
+    /// Role that the engine is drained for; other authorities reckon with it from then on.
+    pub planned_role: Option<EngineRole>,
     /// Why.
     pub reason: PlacementReason,
     /// Predicted gain, in engine-seconds.
--- a/marigoldlock_core/src/routing/tests.rs
+++ b/marigoldlock_core/src/routing/tests.rs
@@ -323,6 +323,7 @@
         assert_ne!(chosen(&mut table, &parts, at(1)), "runner-00");
     }
     let mut tried = None;
+    let mut others = Vec::new();
     for _ in 0..200 {
         let decision = table.choose(&parts.ask(), at(5_001)).unwrap();
         if decision.upstream.as_str() == "runner-00" {
@@ -331,7 +332,7 @@
             break;
         }
         let ticket = table.on_sent(&decision, &parts.ask(), at(5_001));
-        std::mem::forget(ticket);
+        others.push(ticket);
     }
     let ticket = tried.expect("an ejected upstream is tried again");
     for _ in 0..50 {
@@ -467,7 +468,7 @@
         table
     };
     let parts = AskParts::new();
-    let mut turns = fill(Box::new(RoundRobin::default()));
+    let mut turns = fill(Box::<RoundRobin>::default());
     let order: Vec<_> = (0..4).map(|_| chosen(&mut turns, &parts, at(1))).collect();
     assert_eq!(order, ["runner-01", "runner-02", "runner-00", "runner-01"]);
     let mut least = fill(Box::new(LeastInFlight));
--- a/marigoldlock_core/src/routing/upstream.rs
+++ b/marigoldlock_core/src/routing/upstream.rs
@@ -229,7 +229,7 @@
     }
 
     /// Time since it last made progress, if it has work of ours in flight.
-    pub(super) fn silence(&self, now: MonoTime) -> Duration {
+    pub fn silence(&self, now: MonoTime) -> Duration {
         match self.own.requests {
             0 => Duration::ZERO,
             _ => now.since(self.last_progress),
