--- /dev/null
+++ b/marigoldctl/src/dev/checks.rs
@@ -0,0 +1,81 @@
+//! Whether the promises held in a demo.
+
+use std::collections::BTreeMap;
+
+use marigoldlock_fleet::Fleet;
+
+use super::summary::DemoSummary;
+use super::workload::DemoOutcome;
+
+/// Compares what callers were told with what the plain services ran.
+pub fn check_calls(fleet: &Fleet, outcomes: &[DemoOutcome], summary: &mut DemoSummary) {
+    let runs = runs_by_key(fleet);
+    for (key, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        summary.duplicates += 1;
+        summary.broken.push(format!("the call {key} ran {count} times"));
+    }
+    for outcome in outcomes {
+        match outcome {
+            DemoOutcome::Whole { key: Some(key), .. } if !runs.contains_key(key) => {
+                summary
+                    .broken
+                    .push(format!("the call {key} was answered and never ran"));
+            }
+            DemoOutcome::Refused {
+                execution,
+                key: Some(key),
+                ..
+            } if execution == "not_run" && runs.contains_key(key) => {
+                summary.false_refusals += 1;
+                summary
+                    .broken
+                    .push(format!("the call {key} was refused as not run and ran"));
+            }
+            _ => (),
+        }
+    }
+}
+
+fn runs_by_key(fleet: &Fleet) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for upstream in fleet.host.names() {
+        let Some(seen) = fleet.host.service_seen(&upstream) else {
+            continue;
+        };
+        for key in seen.calls.into_iter().filter_map(|call| call.key) {
+            *runs.entry(key).or_default() += 1;
+        }
+    }
+    runs
+}
+
+/// Checks that no key reached an upstream.
+pub fn check_keys(fleet: &Fleet, summary: &mut DemoSummary) {
+    let deployment = &fleet.options().deployment;
+    let secrets: Vec<String> = deployment
+        .customers
+        .iter()
+        .map(|(name, _)| deployment.key(name))
+        .collect();
+    for upstream in fleet.host.names() {
+        let Some(seen) = fleet.host.engine_seen(&upstream) else {
+            continue;
+        };
+        let headers: Vec<&String> = seen
+            .recent
+            .iter()
+            .flat_map(|request| request.headers.values().flatten())
+            .collect();
+        if headers
+            .iter()
+            .any(|value| secrets.iter().any(|secret| value.contains(secret.as_str())))
+        {
+            summary.broken.push(format!("{upstream} saw a caller's key"));
+        }
+        if seen.recent.iter().any(|request| request.resume_differs) {
+            summary.broken.push(format!(
+                "{upstream} was asked to resume from a text that it would not give"
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/marigoldctl/src/dev/mod.rs
@@ -0,0 +1,102 @@
+//! `marigoldctl dev`: a whole fleet in this process, to try things out.
+
+mod checks;
+mod demo;
+mod summary;
+mod workload;
+
+use std::time::Duration;
+
+use clap::Args;
+use eyre::{Result, bail};
+use marigoldlock::instance::wait_for_signal;
+use marigoldlock_fleet::{ADMIN_TOKEN, Deployment, DeploymentName, Fleet, FleetOptions};
+
+pub use summary::DemoSummary;
+
+/// Run stand-ins and several instances in this process, on loopback.
+#[derive(Args, Clone, Debug)]
+pub struct DevArgs {
+    /// Deployment whose services, customers and data centres are used.
+    #[arg(long, value_enum, default_value_t)]
+    deployment: DeploymentName,
+    /// Entry instances.
+    #[arg(long, default_value_t = 6)]
+    instances: usize,
+    /// Share of the deployment's engines and plain services that are started.
+    #[arg(long, default_value_t = 1.0)]
+    scale: f64,
+    /// Run a bounded mixed workload with failures, print a JSON summary and end.
+    #[arg(long)]
+    demo: bool,
+    /// Seed of the demo's workload.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Requests of the demo's workload.
+    #[arg(long, default_value_t = 400)]
+    requests: usize,
+}
+
+/// Runs the fleet until a signal comes, or the demo to its end.
+///
+/// # Errors
+///
+/// Fails if the fleet does not start, or if the demo saw a promise broken.
+pub async fn run(args: DevArgs) -> Result<()> {
+    if !(args.scale > 0.0 && args.scale <= 10.0) {
+        bail!("--scale takes a number over 0 and up to 10");
+    }
+    if args.instances == 0 || args.instances > 64 {
+        bail!("--instances takes a number from 1 to 64");
+    }
+    if args.demo {
+        return demo::run(&args).await;
+    }
+    let fleet = Fleet::start(args.fleet_options()).await?;
+    print_guide(&fleet);
+    wait_for_signal().await?;
+    fleet.close().await;
+    Ok(())
+}
+
+impl DevArgs {
+    fn fleet_options(&self) -> FleetOptions {
+        let mut options = FleetOptions::new(Deployment::named(self.deployment), self.instances);
+        options.engines = scaled(options.engines, self.scale);
+        options.services = scaled(options.services, self.scale);
+        options
+    }
+}
+
+fn scaled(count: usize, scale: f64) -> usize {
+    ((count as f64 * scale).round() as usize).max(1)
+}
+
+fn print_guide(fleet: &Fleet) {
+    let deployment = &fleet.options().deployment;
+    println!("stand-ins");
+    println!("  log       http://{}", fleet.log.address());
+    println!("  list      http://{}", fleet.list.address());
+    println!("  ordering  http://{}", fleet.ordering.address());
+    println!("  usage     http://{}", fleet.usage.address());
+    println!("instances");
+    for instance in &fleet.instances {
+        println!("  {:<12} http://{}", instance.name(), instance.address());
+    }
+    println!("keys");
+    for (customer, _) in &deployment.customers {
+        println!("  {customer:<16} {}", deployment.key(customer));
+    }
+    println!("administration token\n  {ADMIN_TOKEN}");
+    if let (Some(instance), Some((customer, _))) = (fleet.instances.first(), deployment.customers.first()) {
+        println!("try\n  curl -N {} \\", instance.url("/v1/chat/completions"));
+        println!("    -H 'Authorization: Bearer {}' \\", deployment.key(customer));
+        println!("    -H 'Content-Type: application/json' \\");
+        let body = r#""messages": [{"role": "user", "content": "Write a slogan"}], "max_tokens": 20, "stream": true"#;
+        println!("    -d '{{\"model\": \"{}\", {body}}}'", deployment.model);
+    }
+    println!("Ctrl-C ends everything");
+}
+
+/// Longest run of a demo.
+const DEMO_TIMEOUT: Duration = Duration::from_secs(300);
--- a/marigoldctl/src/lib.rs
+++ b/marigoldctl/src/lib.rs
@@ -1,1 +1,10 @@
-//! x
+//! The operators' tool of marigoldlock.
+
+pub mod backend;
+pub mod config;
+pub mod customers;
+pub mod dev;
+pub mod keys;
+pub mod load;
+pub mod output;
+pub mod standin;
--- a/marigoldctl/src/main.rs
+++ b/marigoldctl/src/main.rs
@@ -1,3 +1,45 @@
-//! x
+//! The operators' tool as a process of its own.
 
-fn main() {}
+use clap::{Parser, Subcommand};
+use eyre::Result;
+use marigoldctl::{config, customers, dev, keys, load, standin};
+
+/// Operators' tool of marigoldlock.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check, compare, publish and show settings.
+    Config(config::ConfigArgs),
+    /// Create, withdraw and list keys.
+    Keys(keys::KeysArgs),
+    /// Create, list and remove customers.
+    Customers(customers::CustomersArgs),
+    /// Replay workloads and measure.
+    Load(load::LoadArgs),
+    /// Run a whole fleet in this process, on stand-ins.
+    Dev(dev::DevArgs),
+    /// Run one stand-in as a process of its own.
+    Standin(standin::StandinArgs),
+}
+
+fn main() -> Result<()> {
+    let cli = Cli::parse();
+    marigoldlock::logging::init("warn");
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        match cli.command {
+            Command::Config(args) => config::run(args).await,
+            Command::Keys(args) => keys::run(args).await,
+            Command::Customers(args) => customers::run(args).await,
+            Command::Load(args) => args.run(),
+            Command::Dev(args) => dev::run(args).await,
+            Command::Standin(args) => standin::run(args).await,
+        }
+    })
+}
