Claim plain keys through the log in the instance

Cause: plain keys were refused; a refusal before a key is looked up called itself not run although an earlier request with the key may have run. Change: PlainActor and CallsSink follow the calls stream; claims are group-committed, read back, then sent; outcomes are appended until the log has them. A keyed call refused before its key is looked up is answered as ClaimUnconfirmed. The follower does not wait at the head until it has reached it once.

--- a/marigoldlock/src/calls/runner.rs
+++ b/marigoldlock/src/calls/runner.rs
@@ -14,6 +14,7 @@
 use marigoldlock_wire::peer::CallAnswer;
 use marigoldlock_wire::prelude::*;
 
+use super::gate::SendGate;
 use crate::clock::TimeSource;
 use crate::dispatch::{AttemptLease, CustomerTerms, DispatchHandle, WorkItem};
 use crate::logging::DECISION_TARGET;
@@ -61,8 +62,8 @@
 impl CallRunner {
     /// Runs a call at most once.
     ///
-    /// Another upstream is tried only if no byte left for the last one.
-    pub async fn run(&self, call: &CallRequest) -> (CallAnswer, CallOutcome) {
+    /// Another upstream is tried only if no byte left for the last one, and none once the gate has closed.
+    pub async fn run(&self, call: &CallRequest, gate: &SendGate) -> (CallAnswer, CallOutcome) {
         let deadline = self.clock.now() + call.patience;
         let permit = match self.dispatch.admit(&call.work, call.terms, deadline).await {
             Ok(permit) => permit,
@@ -76,7 +77,7 @@
                 Err(refusal) => return not_run(refusal.code(), RETRY_AFTER),
             };
             tried.push(lease.decision().upstream.clone());
-            match self.attempt(call, &lease, attempt, deadline).await {
+            match self.attempt(call, gate, &lease, attempt, deadline).await {
                 Ok(answer) => {
                     lease.first_token();
                     lease.close(AttemptOutcome::Answered);
@@ -102,10 +103,14 @@
     async fn attempt(
         &self,
         call: &CallRequest,
+        gate: &SendGate,
         lease: &AttemptLease,
         attempt: AttemptId,
         deadline: MonoTime,
     ) -> Result<CallAnswer, FailureKind> {
+        if !gate.is_open() {
+            return Err(FailureKind::NotConnected);
+        }
         let sent = self.upstreams.send_once(UpstreamCall {
             address: &lease.decision().address,
             method: &call.method,
--- a/marigoldlock/src/front/forwarded.rs
+++ b/marigoldlock/src/front/forwarded.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use axum::http::Method;
+use log::warn;
 use marigoldlock_core::settings::ServiceKind;
 use marigoldlock_wire::peer::{CallAnswer, ForwardedCall};
 use marigoldlock_wire::prelude::*;
@@ -23,7 +24,11 @@
                 .run_here(forwarded.home, &forwarded.idempotency_key, &call)
                 .await
         }
-        Err(code) => failed(code, None),
+        // The key was not looked up: an earlier request with it may have run.
+        Err(code) => {
+            warn!(code:%, service:% = forwarded.service; "a forwarded call could not be looked up");
+            failed(ResultCode::OutcomeUnknown, None)
+        }
     }
 }
 
--- a/marigoldlock/src/front/plain.rs
+++ b/marigoldlock/src/front/plain.rs
@@ -63,7 +63,9 @@
     service: &str,
     request: Request,
 ) -> Result<Response, Rejection> {
-    let settings = context.serving_settings()?;
+    let settings = context
+        .serving_settings()
+        .map_err(|rejection| unless_keyed(rejection, request.headers()))?;
     let service = settings
         .service(service)
         .filter(|service| service.kind == ServiceKind::Plain)
@@ -92,6 +94,18 @@
     into_response(answer)
 }
 
+/// An earlier request with the same idempotency key may have run, which this instance can't tell before it
+/// looks the key up.
+fn unless_keyed(rejection: Rejection, headers: &HeaderMap) -> Rejection {
+    if !headers.contains_key(IDEMPOTENCY_HEADER) {
+        return rejection;
+    }
+    Rejection {
+        retry_after: rejection.retry_after,
+        ..Rejection::new(ResultCode::ClaimUnconfirmed)
+    }
+}
+
 fn unknown_service(name: &str) -> Rejection {
     Rejection::with_message(
         ResultCode::UnknownService,
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -17,18 +17,20 @@
 use marigoldlock_wire::peer::{PeerRequest, PeerResponse};
 use marigoldlock_wire::platform::InstanceList;
 use marigoldlock_wire::prelude::*;
+use marigoldlock_wire::record::CALLS_STREAM;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
 use crate::admin::{AdminContext, admin_router};
-use crate::calls::{CallRunner, CallService, HomeHandle};
+use crate::calls::{CallRunner, CallService, CallsSink, HomeHandle, PlainHandle};
 use crate::cli::InstanceOptions;
 use crate::clock::{BootClock, TimeSource};
 use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
 use crate::front::{
     ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router, serve_forwarded,
 };
+use crate::log_stream::{FollowLimits, RecordWriter, StreamFollower, WriterLimits};
 use crate::members::{
     HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, poll_list, poll_upstreams,
 };
@@ -257,6 +259,7 @@
             limits,
         });
         let home = HomeHandle::start(own.incarnation, Arc::clone(&clock));
+        let (plain, call_tasks) = start_plain(own, &log, &clock);
         let peers = PeerPool::default();
         let upstreams = UpstreamClient::default();
         let leaving = Arc::new(AtomicBool::new(false));
@@ -267,6 +270,7 @@
         };
         let calls = CallService {
             home: home.clone(),
+            plain: plain.clone(),
             runner,
             members: members.clone(),
             peers: peers.clone(),
@@ -280,11 +284,13 @@
             settings: settings.clone(),
             settings_actor,
             home,
+            plain,
             peers,
             leaving: Arc::clone(&leaving),
             sequence: AtomicU64::new(0),
         });
-        let tasks = Vec::from(follow_settings(own, log, &exchange));
+        let mut tasks = Vec::from(follow_settings(own, log, &exchange));
+        tasks.extend(call_tasks);
         let context = FrontContext::new(FrontParts {
             name: own.instance.clone(),
             incarnation: own.incarnation,
@@ -312,6 +318,30 @@
     }
 }
 
+/// Starts what claims plain keys, and the tasks that write and follow the calls stream.
+fn start_plain(
+    own: &OwnAddresses,
+    log: &Arc<dyn LogClient>,
+    clock: &Arc<dyn TimeSource>,
+) -> (PlainHandle, [AbortHandle; 2]) {
+    let (writer, write) = RecordWriter::new(
+        Arc::clone(log),
+        CALLS_STREAM,
+        own.instance.clone(),
+        own.incarnation,
+        WriterLimits::default(),
+    );
+    let plain = PlainHandle::start(own.incarnation, Arc::clone(clock), writer);
+    let follower = StreamFollower::new(
+        Arc::clone(log),
+        Arc::clone(clock),
+        CALLS_STREAM,
+        FollowLimits::default(),
+    );
+    let follow = follower.run(CallsSink::new(plain.clone()));
+    (plain, [spawn(write), spawn(follow)])
+}
+
 fn start_settings() -> (SettingsHandle, ActorRef<SettingsActor>) {
     let (sender, receiver) = watch::channel(SettingsState::default());
     let actor = SettingsActor::spawn_with_mailbox(sender, kameo::mailbox::unbounded());
--- a/marigoldlock/src/log_stream/follower.rs
+++ b/marigoldlock/src/log_stream/follower.rs
@@ -43,6 +43,9 @@
     /// Records before `first` have expired unread; state must be rebuilt from what is kept.
     async fn on_gap(&mut self, first: u64);
 
+    /// The log keeps records from `first` on.
+    async fn on_kept(&mut self, _first: u64) {}
+
     /// A read failed.
     async fn on_failure(&mut self, error: &LogError);
 }
@@ -54,6 +57,8 @@
     stream: &'static str,
     limits: FollowLimits,
     next: u64,
+    /// Until the head was reached once, reads don't wait there.
+    caught_up: bool,
 }
 
 impl StreamFollower {
@@ -70,6 +75,7 @@
             stream,
             limits,
             next: 0,
+            caught_up: false,
         }
     }
 
@@ -96,15 +102,21 @@
     /// Fails if the log does not answer.
     pub async fn step(&mut self, sink: &mut impl RecordSink) -> Result<(), LogError> {
         let asked = self.clock.now();
+        let wait = if self.caught_up {
+            self.limits.wait
+        } else {
+            Duration::ZERO
+        };
         let batch = self
             .log
-            .read(self.stream, self.next, self.limits.batch, self.limits.wait)
+            .read(self.stream, self.next, self.limits.batch, wait)
             .await?;
         self.take_batch(batch, asked, sink).await;
         Ok(())
     }
 
     async fn take_batch(&mut self, batch: ReadBatch, asked: MonoTime, sink: &mut impl RecordSink) {
+        sink.on_kept(batch.first).await;
         if batch.first > self.next {
             if self.next > 0 {
                 sink.on_gap(batch.first).await;
@@ -119,6 +131,7 @@
             }
         }
         if self.next >= batch.head {
+            self.caught_up = true;
             sink.on_fresh(asked, batch.head).await;
         }
     }
--- a/marigoldlock/src/members/actor.rs
+++ b/marigoldlock/src/members/actor.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use log::{info, warn};
+use marigoldlock_core::calls::{log_down_code, peer_logs};
 use marigoldlock_core::keys::OutageView;
 use marigoldlock_core::membership::{
     AddressView, ExchangeLimits, HeartbeatStep, MemberLimits, MemberState, MemberTable, OwnIdentity,
@@ -217,6 +219,31 @@
     }
 }
 
+/// Asks what a plain key that is not known may be told while the log is down.
+pub struct AskLogDown {
+    /// Position up to which the calls stream was read.
+    pub position: LogPosition,
+    /// When the last read was asked for that reached the head.
+    pub fresh: MonoTime,
+}
+
+impl Message<AskLogDown> for MemberActor {
+    type Reply = Option<ResultCode>;
+
+    async fn handle(&mut self, ask: AskLogDown, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let silent = Duration::from_millis(LOG_SILENT_MS);
+        let peers = peer_logs(&self.table, ask.fresh, silent);
+        Some(log_down_code(ask.position, peers))
+    }
+}
+
+fn is_heard(state: MemberState) -> bool {
+    matches!(
+        state,
+        MemberState::Live | MemberState::Suspect | MemberState::Leaving
+    )
+}
+
 /// One member, for the status page.
 #[derive(Clone, Debug, serde::Serialize)]
 pub struct MemberStatus {
@@ -232,6 +259,8 @@
     pub peer_address: String,
     /// State, in words.
     pub state: String,
+    /// Whether it was heard lately.
+    pub is_heard: bool,
     /// Whether it takes requests.
     pub ready: bool,
     /// Settings version in force there.
@@ -262,6 +291,7 @@
                 address: member.address.clone(),
                 peer_address: member.peer_address.clone(),
                 state: member.state.to_string().to_lowercase(),
+                is_heard: is_heard(member.state),
                 ready: member.ready,
                 settings_version: member.settings_version,
                 silence_ms: member.silence(now).map(|silence| silence.as_millis() as u64),
--- a/marigoldlock/src/members/exchange.rs
+++ b/marigoldlock/src/members/exchange.rs
@@ -16,7 +16,7 @@
 
 use super::actor::{MemberRound, NoteHeartbeat, TickMembers};
 use super::handle::MemberHandle;
-use crate::calls::HomeHandle;
+use crate::calls::{HomeHandle, PlainHandle};
 use crate::clock::TimeSource;
 use crate::dispatch::{DispatchHandle, OwnLoad, RemovePeer, Tick, UpdatePeer};
 use crate::peer::PeerPool;
@@ -58,6 +58,8 @@
     pub settings_actor: ActorRef<SettingsActor>,
     /// The calls whose home is here.
     pub home: HomeHandle,
+    /// The calls that are claimed in the log.
+    pub plain: PlainHandle,
     /// Connections to peers.
     pub peers: PeerPool,
     /// True once this instance shuts down.
@@ -184,6 +186,8 @@
             counters: load.counters,
             started_ms: self.own.started_ms,
             hears: round.hears.clone(),
+            calls_position: self.plain.status().position,
+            home: self.home.token().unwrap_or(self.own.incarnation),
             ..Heartbeat::default()
         }
     }
--- a/marigoldlock/src/members/handle.rs
+++ b/marigoldlock/src/members/handle.rs
@@ -1,10 +1,11 @@
 //! Asking about the other instances.
 
 use kameo::actor::{ActorRef, Spawn as _};
+use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::prelude::*;
 
 use super::actor::{
-    AskAddresses, FindHome, KnownAddress, ListMembers, MemberActor, MemberSources, MemberStatus,
+    AskAddresses, AskLogDown, FindHome, KnownAddress, ListMembers, MemberActor, MemberSources, MemberStatus,
 };
 
 /// Way to the member actor.
@@ -40,6 +41,12 @@
         self.actor.ask(FindHome(home)).await.ok().flatten()
     }
 
+    /// What a plain key that is not known may be told while the log is down.
+    pub async fn log_down_code(&self, position: LogPosition, fresh: MonoTime) -> ResultCode {
+        let code = self.actor.ask(AskLogDown { position, fresh }).await;
+        code.ok().flatten().unwrap_or(ResultCode::ClaimUnconfirmed)
+    }
+
     /// All members but this instance, by name.
     pub async fn list(&self) -> Vec<MemberStatus> {
         self.actor
--- a/marigoldlock/tests/support/mod.rs
+++ b/marigoldlock/tests/support/mod.rs
@@ -208,3 +208,12 @@
     let held = marigoldlock_fleet::wait_until(Duration::from_secs(20), condition).await;
     assert!(held, "{what} did not come about");
 }
+
+/// Changes the faults of every plain service.
+pub fn set_service_faults(fleet: &Fleet, change: impl Fn(&mut marigoldlock_standin::prelude::FaultPlan)) {
+    for upstream in fleet.upstreams(fleet.options().deployment.plain.as_str()) {
+        if let Some(faults) = fleet.host.faults(&upstream) {
+            faults.update(&change);
+        }
+    }
+}
--- a/marigoldlock_wire/src/code.rs
+++ b/marigoldlock_wire/src/code.rs
@@ -117,7 +117,7 @@
     4005 StillRunning 409 Unknown "A call with the same Idempotency-Key is still running.";
     4006 AnswerNotKept 410 Ran "The call ran; its answer was too large or too old to be kept.";
     4007 SlowReader 502 Ran "The caller read its answer too slowly.";
-    4008 ClaimUnconfirmed 504 Unknown "The log is not answering, and another instance may have recorded and run the call.";
+    4008 ClaimUnconfirmed 504 Unknown "The instance can't look the Idempotency-Key up now; an earlier request with the key may have run.";
     5001 Internal 500 Unknown "The instance failed in a way that it does not explain.";
     6001 InvalidSettings 422 NotRun "The change does not pass the settings check.";
     6002 VersionConflict 409 NotRun "The settings changed since the version that the change expects.";
