--- a/marigoldlock_standin/src/engine/batch.rs
+++ b/marigoldlock_standin/src/engine/batch.rs
@@ -149,6 +149,7 @@
     pub(super) fn begin_step(
         &mut self,
         options: &EngineOptions,
+        prefill_slowdown: f64,
         cache: &mut PrefixCache,
         seen: &mut SeenLog,
     ) -> Option<Duration> {
@@ -159,7 +160,7 @@
         }
         self.stepping = true;
         let chunk = self.share_prefill(options.prefill_chunk_tokens);
-        let prefill_s = chunk as f64 / options.prefill_tokens_per_s;
+        let prefill_s = chunk as f64 * prefill_slowdown / options.prefill_tokens_per_s;
         let decode_s = match self.decoding() {
             0 => 0.0,
             decoding => step_seconds(options, decoding),
--- a/marigoldlock_standin/src/engine/options.rs
+++ b/marigoldlock_standin/src/engine/options.rs
@@ -37,8 +37,10 @@
     pub default_tokens: u64,
     /// Role from the start.
     pub role: EngineRole,
-    /// Most prompt tokens without cache that an engine in the decode role takes.
-    pub decode_prompt_tokens: u64,
+    /// How much slower an engine in the decode role works through prompts.
+    pub decode_prefill_slowdown: f64,
+    /// Most prompt tokens without cache that an engine in the decode role takes; `None` for any.
+    pub decode_prompt_tokens: Option<u64>,
     /// Time that a change of role or version takes the engine away, in milliseconds.
     pub change_ms: u64,
     /// Time that loading an adapter takes, in milliseconds.
@@ -79,7 +81,8 @@
             models: Vec::new(),
             default_tokens: 64,
             role: EngineRole::Mixed,
-            decode_prompt_tokens: 512,
+            decode_prefill_slowdown: 4.0,
+            decode_prompt_tokens: None,
             change_ms: 3000,
             adapter_ms: 500,
             weights: WeightStore::default(),
--- a/marigoldlock_standin/src/engine/state.rs
+++ b/marigoldlock_standin/src/engine/state.rs
@@ -131,9 +131,13 @@
     /// Begins a step of the batch and gives its length; `None` if there is nothing to do.
     pub(super) fn begin_step(&mut self, now: Instant) -> Option<Duration> {
         self.settle(now);
+        let slowdown = match self.role {
+            EngineRole::Mixed | EngineRole::Prefill => 1.0,
+            EngineRole::Decode => self.options.decode_prefill_slowdown,
+        };
         let step = self
             .batch
-            .begin_step(&self.options, &mut self.cache, &mut self.seen);
+            .begin_step(&self.options, slowdown, &mut self.cache, &mut self.seen);
         if step.is_none() {
             self.note_load(now);
         }
@@ -253,7 +257,10 @@
         let fits = match self.role {
             EngineRole::Mixed => true,
             EngineRole::Prefill => output_tokens <= 1,
-            EngineRole::Decode => uncached <= self.options.decode_prompt_tokens,
+            EngineRole::Decode => self
+                .options
+                .decode_prompt_tokens
+                .is_none_or(|limit| uncached <= limit),
         };
         (!fits).then_some(EngineRefusal::WrongRole)
     }
--- a/marigoldlock_standin/src/engine/tests.rs
+++ b/marigoldlock_standin/src/engine/tests.rs
@@ -59,6 +59,19 @@
         self.now.duration_since(self.started)
     }
 
+    fn run_some(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.step();
+        }
+    }
+
+    fn time(&mut self, request: &ChatRequest) -> Duration {
+        let before = self.now;
+        let _events = self.submit(request, 0).unwrap();
+        self.run();
+        self.now.duration_since(before)
+    }
+
     fn wait(&mut self, ms: u64) {
         self.now += Duration::from_millis(ms);
     }
@@ -267,6 +280,26 @@
     assert!(engine.submit(&chat(1, 1), 0).is_ok());
 }
 
+#[test]
+fn decode_role_works_through_prompts_slowly() {
+    let options = EngineOptions {
+        prefill_tokens_per_s: 1000.0,
+        ..EngineOptions::default()
+    };
+    let mixed = TestEngine::new(options.clone()).time(&chat(100, 1));
+    let decode = EngineOptions {
+        role: EngineRole::Decode,
+        decode_prompt_tokens: Some(100),
+        ..options
+    };
+    let mut decode = TestEngine::new(decode);
+    assert_eq!(
+        decode.submit(&chat(101, 1), 0).unwrap_err(),
+        EngineRefusal::WrongRole
+    );
+    assert_eq!(decode.time(&chat(100, 1)), 4 * mixed);
+}
+
 #[test]
 fn old_fencing_number_is_refused_or_flagged() {
     for check_fence in [true, false] {
@@ -344,11 +377,3 @@
     };
     assert_eq!(engine.state.export(&wanted).tokens, 0);
 }
-
-impl TestEngine {
-    fn run_some(&mut self, steps: usize) {
-        for _ in 0..steps {
-            self.step();
-        }
-    }
-}
--- a/marigoldlock_standin/src/faults/mod.rs
+++ b/marigoldlock_standin/src/faults/mod.rs
@@ -67,7 +67,7 @@
 struct KnobState {
     plan: FaultPlan,
     set_at: Instant,
-    generation: u64,
+    calls: u64,
 }
 
 /// Shared handle on the faults of one stand-in.
@@ -88,7 +88,7 @@
         let state = KnobState {
             plan,
             set_at,
-            generation: 0,
+            calls: 0,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -104,7 +104,6 @@
             let mut state = self.state();
             state.plan = plan;
             state.set_at = Instant::now();
-            state.generation += 1;
         }
         self.changed.send_modify(|presence| {
             presence.restarts += u64::from(restarted);
@@ -132,9 +131,15 @@
         self.state().plan.clone()
     }
 
+    /// Calls that arrived so far, whatever became of them.
+    pub fn calls_begun(&self) -> u64 {
+        self.state().calls
+    }
+
     /// Decides what happens to a call, and takes it off the plan's budgets.
     pub fn begin_call(&self, method: &str, path: &str) -> CallFault {
         let mut state = self.state();
+        state.calls += 1;
         let elapsed_ms = state.set_at.elapsed().as_millis() as u64;
         let plan = &mut state.plan;
         let outage = plan.outage_at(elapsed_ms);
--- a/marigoldlock_standin/src/server.rs
+++ b/marigoldlock_standin/src/server.rs
@@ -206,12 +206,13 @@
             hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         let silenced = next_change(self.faults.presence(), |presence| presence.silences);
         self.tracker.spawn(async move {
+            tokio::pin!(connection);
             // A silent connection is held open and never polled again.
             tokio::select! {
                 biased;
                 () = token.cancelled() => return,
                 () = silenced => {},
-                _ = connection => return,
+                _ = &mut connection => return,
             }
             token.cancelled().await;
         });
@@ -294,12 +295,17 @@
             let crash = layer.crash();
             let call = tokio::spawn(async move {
                 tokio::select! {
-                    () = crash => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-                    response = call => response,
+                    biased;
+                    () = crash => None,
+                    response = call => Some(response),
                 }
             });
-            call.await
-                .unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+            match call.await {
+                Ok(Some(response)) => response,
+                // The connection is about to be closed too.
+                Ok(None) => std::future::pending().await,
+                Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+            }
         }
     }
 }
