Pause the first instance of a call and retry elsewhere

Cause: a home or claimant that is paused in the midst of a call may go on at any time. Change: tests with an instance in a process of its own, stopped by SIGSTOP while the service has the call; a table of members for the code without the log.

--- a/marigoldlock/tests/support/mod.rs
+++ b/marigoldlock/tests/support/mod.rs
@@ -18,6 +18,7 @@
     key: String,
     model: String,
     plain: String,
+    deadline_ms: Option<u64>,
 }
 
 /// A streamed chat, as the caller got it.
@@ -58,6 +59,7 @@
             key: deployment.key(customer),
             model: deployment.model.to_string(),
             plain: deployment.plain.to_string(),
+            deadline_ms: None,
         }
     }
 
@@ -66,6 +68,18 @@
         self
     }
 
+    /// Gives bookings a deadline of their own.
+    pub fn with_deadline(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = Some(deadline_ms);
+        self
+    }
+
+    /// Adds an instance that the fleet does not run itself.
+    pub fn with_address(mut self, address: &str) -> Self {
+        self.addresses.push(address.to_owned());
+        self
+    }
+
     pub fn key(&self) -> &str {
         &self.key
     }
@@ -131,6 +145,10 @@
             .post(url)
             .bearer_auth(&self.key)
             .header("idempotency-key", key);
+        let request = match self.deadline_ms {
+            Some(deadline) => request.header("x-deadline-ms", deadline),
+            None => request,
+        };
         let response = request.json(body).send().await?;
         call_result(response).await
     }
--- a/marigoldlock_core/src/calls/tests.rs
+++ b/marigoldlock_core/src/calls/tests.rs
@@ -4,13 +4,15 @@
 mod plain;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use marigoldlock_wire::peer::CallAnswer;
+use marigoldlock_wire::peer::{CallAnswer, HeardPeer, Heartbeat};
 use marigoldlock_wire::record::calls::RequestPrint;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 use super::*;
+use crate::membership::{MemberLimits, MemberTable, OwnIdentity};
 use crate::prelude::*;
 
 const PRINT: RequestPrint = RequestPrint(1);
@@ -111,3 +113,48 @@
     assert_eq!(log_down_code(own, [peer(9, false)]), ResultCode::ClaimUnconfirmed);
     assert_eq!(ResultCode::ClaimUnconfirmed.execution(), Execution::Unknown);
 }
+
+#[test]
+fn a_member_that_is_unheard_lost_or_ahead_leaves_a_call_without_the_log_unconfirmed() {
+    let at = |seconds| MonoTime::from_duration(Duration::from_secs(seconds));
+    let own = OwnIdentity {
+        instance: "own".into(),
+        incarnation: Incarnation(1 << 40),
+        data_centre: "a".into(),
+    };
+    let heartbeat = |instance: &str, sequence, position, log_age_ms| Heartbeat {
+        instance: instance.into(),
+        incarnation: Incarnation(u64::from(instance.as_bytes()[0]) << 32),
+        sequence,
+        ready: true,
+        log_age_ms,
+        calls_position: LogPosition(position),
+        hears: vec![HeardPeer {
+            instance: "own".into(),
+            incarnation: Incarnation(1 << 40),
+            usable: true,
+        }],
+        ..Heartbeat::default()
+    };
+    let mut members = MemberTable::new(own, MemberLimits::default());
+    let code = |members: &MemberTable, position| {
+        let logs = peer_logs(members, at(1), Duration::from_secs(4));
+        log_down_code(LogPosition(position), logs)
+    };
+    members.on_heartbeat(&heartbeat("b", 1, 5, 0), at(0));
+    assert_eq!(code(&members, 9), ResultCode::ClaimUnconfirmed, "b reads the log");
+    members.on_heartbeat(&heartbeat("b", 2, 7, 5_000), at(6));
+    assert_eq!(code(&members, 9), ResultCode::LogUnavailable);
+    assert_eq!(code(&members, 6), ResultCode::ClaimUnconfirmed, "b is ahead");
+    members.tick(at(7));
+    members.tick(at(8));
+    (9..12).for_each(|second| assert_eq!(members.tick(at(second)), None));
+    assert_eq!(code(&members, 9), ResultCode::ClaimUnconfirmed, "b is suspect");
+    (12..80).for_each(|second| assert_eq!(members.tick(at(second)), None));
+    assert!(members.get("b").is_none(), "b is gone and was never listed");
+    assert_eq!(
+        code(&members, 9),
+        ResultCode::ClaimUnconfirmed,
+        "b was lost meanwhile"
+    );
+}
