Change a role only for what it gains

Change: the loss of a change counts the drain as well as the change; a role of its own is worth only its measured gain, and streams beside prefill count as disturbed only where the engine's chunks break the target between tokens.

--- a/marigoldctl/src/load/placing.rs
+++ b/marigoldctl/src/load/placing.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use marigoldlock_core::placement::{
-    AdaptivePlacement, DemandSample, EngineView, FixedPlacement, PlacementParams, PlacementPolicy,
+    AdaptivePlacement, DemandSample, EngineView, FixedPlacement, PlacementParams, PlacementPolicy, RoleWorth,
 };
 use marigoldlock_core::prelude::*;
 
-use super::experiment::{PlacementKind, ServiceSpec};
+use super::experiment::{PlacementKind, ServiceSpec, TargetSpec};
 use super::fleet::{MODEL, UpstreamFleet, UpstreamPhase};
 
 /// Planner of one service, with what it has observed since the last plan.
@@ -41,8 +41,8 @@
 }
 
 impl ServicePlanner {
-    pub(super) fn new(service: usize, kind: PlacementKind, spec: &ServiceSpec) -> Self {
-        let params = params(spec, kind == PlacementKind::Adaptive);
+    pub(super) fn new(service: usize, kind: PlacementKind, spec: &ServiceSpec, targets: &TargetSpec) -> Self {
+        let params = params(spec, targets, kind == PlacementKind::Adaptive);
         let policy: Box<dyn PlacementPolicy> = match kind {
             PlacementKind::Fixed => Box::new(FixedPlacement),
             PlacementKind::Adaptive | PlacementKind::RolesOnly => Box::new(AdaptivePlacement::new(params)),
@@ -55,10 +55,20 @@
     }
 }
 
-fn params(spec: &ServiceSpec, scales: bool) -> PlacementParams {
+fn params(spec: &ServiceSpec, targets: &TargetSpec, scales: bool) -> PlacementParams {
     let slots = f64::from(spec.slots);
     let step_s = (spec.step_ms + spec.step_per_stream_ms * slots) / 1e3;
+    let disturbed_ms = (step_s + spec.chunk_tokens as f64 / spec.prefill_tokens_per_s) * 1e3;
+    let disturbed = if disturbed_ms > targets.standard_between_ms {
+        0.5
+    } else {
+        0.0
+    };
     let mut params = PlacementParams {
+        role_worth: RoleWorth {
+            gain: spec.role_gain,
+            disturbed,
+        },
         prefill_tokens_per_s: spec.prefill_tokens_per_s,
         output_tokens_per_s: slots / step_s,
         role_change: Duration::from_secs_f64(spec.role_change_s),
--- a/marigoldctl/src/load/replay.rs
+++ b/marigoldctl/src/load/replay.rs
@@ -113,7 +113,9 @@
             instances: (0..entry.instances).map(instance).collect(),
             fleet: UpstreamFleet::new(experiment, policy),
             planners: services
-                .map(|(number, spec)| ServicePlanner::new(number, policy.placement, spec))
+                .map(|(number, spec)| {
+                    ServicePlanner::new(number, policy.placement, spec, &experiment.targets)
+                })
                 .collect(),
             attempts: FastMap::default(),
             next_attempt: 0,
--- a/marigoldlock_core/src/placement/adaptive.rs
+++ b/marigoldlock_core/src/placement/adaptive.rs
@@ -162,11 +162,12 @@
         let present = round.view.engines.iter().filter(|engine| !engine.leaving);
         let mix = RoleMix::count(present.map(EngineView::coming_role));
         let load = self.demand.load(round.params);
-        let Some((from, to, saved)) = mix.best_change(load) else {
+        let Some((from, to, saved)) = mix.best_change(load, round.params.role_worth) else {
             return;
         };
         let gain = saved * round.params.dwell.as_secs_f64();
-        let lost = round.params.role_change.as_secs_f64();
+        // While it drains, an engine is on average half empty.
+        let lost = round.params.role_change.as_secs_f64() + round.params.drain.as_secs_f64() / 2.0;
         if gain < lost * round.params.hysteresis {
             return;
         }
--- a/marigoldlock_core/src/placement/mod.rs
+++ b/marigoldlock_core/src/placement/mod.rs
@@ -31,7 +31,7 @@
 pub use demand::DemandTracker;
 pub use fixed::FixedPlacement;
 pub use policy::PlacementPolicy;
-pub use roles::{EngineLoad, RoleMix};
+pub use roles::{EngineLoad, RoleMix, RoleWorth};
 pub use types::{
     DemandSample, EngineView, FleetView, ModelDemand, PlacementAction, PlacementOrder, PlacementParams,
     PlacementReason, SpendingWeights,
--- a/marigoldlock_core/src/placement/roles.rs
+++ b/marigoldlock_core/src/placement/roles.rs
@@ -2,18 +2,22 @@
 
 use marigoldlock_wire::engine::EngineRole;
 
-/// How many streams more a decode engine carries than a mixed one, whose steps are held up by prefill.
-const DECODE_GAIN: f64 = 1.15;
-
-/// Share of disturbed streams that counts as not served in time.
-const DISTURBED_WEIGHT: f64 = 0.5;
-
 /// Share of a mixed engine's time in prefill from which all of its streams are disturbed.
 const DISTURBED_FROM: f64 = 0.35;
 
 /// Weight of idle engines that the load can't use; breaks ties towards an even spread.
 const UNEVEN_WEIGHT: f64 = 0.05;
 
+/// What a role of its own is worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoleWorth {
+    /// How much more of its own work an engine does that does nothing else.
+    pub gain: f64,
+    /// Share of the streams beside busy prefill that miss the target between tokens; 0 if the engines' chunks
+    /// are small enough.
+    pub disturbed: f64,
+}
+
 /// Load of a service, in engines that it fills.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EngineLoad {
@@ -68,36 +72,36 @@
     }
 
     /// Engines' worth of work a second that is not served in time.
-    pub fn loss(self, load: EngineLoad) -> f64 {
+    pub fn loss(self, load: EngineLoad, worth: RoleWorth) -> f64 {
         if self.mixed + self.decode == 0 || self.mixed + self.prefill == 0 {
             return f64::INFINITY;
         }
         let mixed = f64::from(self.mixed);
-        let prefill = f64::from(self.prefill);
-        let decode = f64::from(self.decode) * DECODE_GAIN;
+        let prefill = f64::from(self.prefill) * worth.gain;
+        let decode = f64::from(self.decode) * worth.gain;
         let prompts = (load.prefill - prefill).max(0.0);
         let streams = (load.decode - decode).max(0.0);
         let overload = (prompts + streams - mixed).max(0.0);
-        let disturbed = if mixed > 0.0 {
+        let busy = if mixed > 0.0 {
             (prompts / mixed / DISTURBED_FROM).min(1.0)
         } else {
             1.0
         };
         let idle = (prefill - load.prefill).max(0.0) + (decode - load.decode).max(0.0);
         let uneven = idle / (mixed + prefill + decode);
-        overload + DISTURBED_WEIGHT * streams.min(mixed) * disturbed + UNEVEN_WEIGHT * uneven
+        overload + worth.disturbed * streams.min(mixed) * busy + UNEVEN_WEIGHT * uneven
     }
 
     /// The single change of a role that saves most, and what it saves.
-    pub fn best_change(self, load: EngineLoad) -> Option<(EngineRole, EngineRole, f64)> {
+    pub fn best_change(self, load: EngineLoad, worth: RoleWorth) -> Option<(EngineRole, EngineRole, f64)> {
         const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
-        let now = self.loss(load);
+        let now = self.loss(load, worth);
         let changes = ROLES
             .into_iter()
             .flat_map(|from| ROLES.into_iter().map(move |to| (from, to)));
         let mut mix = self;
         let possible = changes.filter(|(from, to)| from != to && *mix.of(*from) > 0);
-        let saving = possible.map(|(from, to)| (from, to, now - self.after(from, to).loss(load)));
+        let saving = possible.map(|(from, to)| (from, to, now - self.after(from, to).loss(load, worth)));
         saving
             .filter(|(_, _, saved)| *saved > 0.0)
             .max_by(|left, right| left.2.total_cmp(&right.2))
--- a/marigoldlock_core/src/placement/tests.rs
+++ b/marigoldlock_core/src/placement/tests.rs
@@ -131,6 +131,10 @@
 fn roles_only() -> PlacementParams {
     PlacementParams {
         scales: false,
+        role_worth: RoleWorth {
+            gain: 1.15,
+            disturbed: 0.5,
+        },
         ..PlacementParams::default()
     }
 }
@@ -204,7 +208,60 @@
         mixed: 12,
         ..RoleMix::default()
     };
-    assert!(fleet.mix().loss(load) < mixed.loss(load), "{:?}", fleet.mix());
+    let worth = roles_only().role_worth;
+    assert!(
+        fleet.mix().loss(load, worth) < mixed.loss(load, worth),
+        "{:?}",
+        fleet.mix()
+    );
+}
+
+#[test]
+fn engines_whose_streams_are_not_disturbed_stay_mixed() {
+    let mut fleet = Fleet::new(12);
+    let mut policy = policy(PlacementParams {
+        scales: false,
+        ..PlacementParams::default()
+    });
+    for second in 0..240 {
+        let load = if second < 120 {
+            demand(2.0, 7.0)
+        } else {
+            demand(7.0, 2.0)
+        };
+        let orders = fleet.step(&mut policy, load, MonoTime::from_millis(second * 1_000));
+        assert_eq!(orders, []);
+    }
+}
+
+#[test]
+fn split_fleet_is_turned_towards_a_mix_that_it_can_not_serve() {
+    let mut fleet = Fleet::new(12);
+    for (number, engine) in fleet.engines.iter_mut().enumerate() {
+        engine.role = if number < 4 {
+            EngineRole::Prefill
+        } else {
+            EngineRole::Decode
+        };
+    }
+    let mut policy = policy(PlacementParams {
+        scales: false,
+        ..PlacementParams::default()
+    });
+    let load = EngineLoad {
+        prefill: 7.0,
+        decode: 3.0,
+    };
+    let worth = PlacementParams::default().role_worth;
+    let before = fleet.mix().loss(load, worth);
+    for second in 0..120 {
+        fleet.step(
+            &mut policy,
+            demand(7.0, 3.0),
+            MonoTime::from_millis(second * 1_000),
+        );
+    }
+    assert!(fleet.mix().loss(load, worth) < before / 3.0, "{:?}", fleet.mix());
 }
 
 #[test]
--- a/marigoldlock_core/src/placement/types.rs
+++ b/marigoldlock_core/src/placement/types.rs
@@ -9,6 +9,8 @@
 
 use crate::prelude::*;
 
+use super::roles::RoleWorth;
+
 /// One upstream of the service, as its load report, the list and the outstanding orders show it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineView {
@@ -173,6 +175,10 @@
     pub planned_utilisation: f64,
     /// Time that a role change takes an engine away.
     pub role_change: Duration,
+    /// Time that an engine usually takes to drain.
+    pub drain: Duration,
+    /// What a role of its own is worth.
+    pub role_worth: RoleWorth,
     /// Time for which a mix is expected to last.
     pub dwell: Duration,
     /// How many times the loss the gain must be.
@@ -216,6 +222,11 @@
             output_tokens_per_s: 500.0,
             planned_utilisation: 0.8,
             role_change: Duration::from_secs(5),
+            drain: Duration::from_secs(20),
+            role_worth: RoleWorth {
+                gain: 1.15,
+                disturbed: 0.0,
+            },
             dwell: Duration::from_secs(120),
             hysteresis: 1.5,
             demand_half_life: Duration::from_secs(15),
