--- a/marigoldctl/src/standin.rs
+++ b/marigoldctl/src/standin.rs
@@ -14,7 +14,7 @@
 use marigoldlock_standin::prelude::*;
 use marigoldlock_wire::platform::ListKind;
 use serde_json::json;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use self::args::{EngineArgs, ListArgs, LogArgs, OrderingArgs, ServiceArgs, UsageArgs};
 use self::listing::{ListedPlace, RemoteList};
@@ -48,47 +48,48 @@
 ///
 /// If an address can't be bound, or the list can't be reached to register at.
 pub async fn run(args: StandinArgs) -> eyre::Result<()> {
+    let signals = StopSignals::listen()?;
     match args.kind {
-        StandinKind::Log(args) => run_log(args).await,
-        StandinKind::Engine(args) => run_engine(*args).await,
-        StandinKind::Service(args) => run_service(args).await,
-        StandinKind::Ordering(args) => run_ordering(*args).await,
-        StandinKind::Usage(args) => run_usage(args).await,
-        StandinKind::List(args) => run_list(args).await,
+        StandinKind::Log(args) => run_log(args, signals).await,
+        StandinKind::Engine(args) => run_engine(*args, signals).await,
+        StandinKind::Service(args) => run_service(args, signals).await,
+        StandinKind::Ordering(args) => run_ordering(*args, signals).await,
+        StandinKind::Usage(args) => run_usage(args, signals).await,
+        StandinKind::List(args) => run_list(args, signals).await,
     }
 }
 
-async fn run_log(args: LogArgs) -> eyre::Result<()> {
+async fn run_log(args: LogArgs, signals: StopSignals) -> eyre::Result<()> {
     let log = LogStandin::start(args.into_options()).await?;
     announce("log", log.address());
-    wait_for_signal().await?;
+    signals.wait().await;
     log.close().await;
     Ok(())
 }
 
-async fn run_engine(args: EngineArgs) -> eyre::Result<()> {
+async fn run_engine(args: EngineArgs, signals: StopSignals) -> eyre::Result<()> {
     let place = args.place.clone();
     let engine = EngineStandin::start(args.into_options()).await?;
     announce("engine", engine.address());
     let listed = ListedPlace::register(place, ListKind::Engine, engine.address()).await?;
-    wait_for_signal().await?;
+    signals.wait().await;
     listed.close().await;
     engine.close().await;
     Ok(())
 }
 
-async fn run_service(args: ServiceArgs) -> eyre::Result<()> {
+async fn run_service(args: ServiceArgs, signals: StopSignals) -> eyre::Result<()> {
     let place = args.place.clone();
     let service = ServiceStandin::start(args.into_options()).await?;
     announce("service", service.address());
     let listed = ListedPlace::register(place, ListKind::Service, service.address()).await?;
-    wait_for_signal().await?;
+    signals.wait().await;
     listed.close().await;
     service.close().await;
     Ok(())
 }
 
-async fn run_ordering(args: OrderingArgs) -> eyre::Result<()> {
+async fn run_ordering(args: OrderingArgs, signals: StopSignals) -> eyre::Result<()> {
     let host = Arc::new(LocalHost::new(args.templates()));
     let list = Arc::new(RemoteList::new(args.list));
     let ordering = OrderingStandin::start(args.options(), host, list).await?;
@@ -100,23 +101,23 @@
                 .await?;
         }
     }
-    wait_for_signal().await?;
+    signals.wait().await;
     ordering.close().await;
     Ok(())
 }
 
-async fn run_usage(args: UsageArgs) -> eyre::Result<()> {
+async fn run_usage(args: UsageArgs, signals: StopSignals) -> eyre::Result<()> {
     let usage = UsageStandin::start(args.into_options()).await?;
     announce("usage", usage.address());
-    wait_for_signal().await?;
+    signals.wait().await;
     usage.close().await;
     Ok(())
 }
 
-async fn run_list(args: ListArgs) -> eyre::Result<()> {
+async fn run_list(args: ListArgs, signals: StopSignals) -> eyre::Result<()> {
     let list = ListStandin::start(args.into_options()).await?;
     announce("list", list.address());
-    wait_for_signal().await?;
+    signals.wait().await;
     list.close().await;
     Ok(())
 }
@@ -125,12 +126,23 @@
     println!("{}", json!({ "standin": standin, "address": address }));
 }
 
-async fn wait_for_signal() -> eyre::Result<()> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    tokio::select! {
-        _ = interrupt.recv() => {},
-        _ = terminate.recv() => {},
+/// Signals that end a stand-in; caught from the start, so that none ends it in disorder.
+struct StopSignals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> eyre::Result<Self> {
+        let interrupt = signal(SignalKind::interrupt())?;
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Self { interrupt, terminate })
+    }
+
+    async fn wait(mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {},
+            _ = self.terminate.recv() => {},
+        }
     }
-    Ok(())
 }
--- a/marigoldctl/src/standin/args.rs
+++ b/marigoldctl/src/standin/args.rs
@@ -86,8 +86,6 @@
 /// Flags of the log.
 #[derive(Args, Debug)]
 pub(super) struct LogArgs {
-    #[command(flatten)]
-    common: CommonArgs,
     /// Appends per second over all streams.
     #[arg(long, default_value_t = 400)]
     appends_per_s: u32,
@@ -100,6 +98,8 @@
     /// Records that a stream keeps [default: all].
     #[arg(long)]
     keep_records: Option<usize>,
+    #[command(flatten)]
+    common: CommonArgs,
 }
 
 impl LogArgs {
@@ -118,11 +118,11 @@
 /// Flags of an engine.
 #[derive(Args, Debug)]
 pub(super) struct EngineArgs {
-    #[command(flatten)]
-    common: CommonArgs,
     #[command(flatten)]
     pub(super) place: PlaceArgs,
     #[command(flatten)]
+    common: CommonArgs,
+    #[command(flatten)]
     tuning: EngineTuning,
 }
 
@@ -135,8 +135,6 @@
 /// Flags of a plain service.
 #[derive(Args, Debug)]
 pub(super) struct ServiceArgs {
-    #[command(flatten)]
-    common: CommonArgs,
     #[command(flatten)]
     pub(super) place: PlaceArgs,
     /// Time that a call takes, in milliseconds.
@@ -148,6 +146,8 @@
     /// How old the figures of a load report are, in milliseconds.
     #[arg(long, default_value_t = 500)]
     load_lag_ms: u64,
+    #[command(flatten)]
+    common: CommonArgs,
 }
 
 impl ServiceArgs {
@@ -203,8 +203,6 @@
 /// Flags of the ordering interface.
 #[derive(Args, Debug)]
 pub(super) struct OrderingArgs {
-    #[command(flatten)]
-    common: CommonArgs,
     /// Address of the instance list that shows what runs.
     #[arg(long)]
     pub(super) list: SocketAddr,
@@ -224,6 +222,8 @@
     #[arg(long, default_value_t = 30_000)]
     leave_ms: u64,
     #[command(flatten)]
+    common: CommonArgs,
+    #[command(flatten)]
     tuning: EngineTuning,
 }
 
@@ -275,11 +275,11 @@
 /// Flags of the instance list.
 #[derive(Args, Debug)]
 pub(super) struct ListArgs {
-    #[command(flatten)]
-    common: CommonArgs,
     /// How old the list is that readers get, in milliseconds.
     #[arg(long, default_value_t = 1000)]
     lag_ms: u64,
+    #[command(flatten)]
+    common: CommonArgs,
 }
 
 impl ListArgs {
