--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -49,6 +49,10 @@
     pub list_lag_ms: u64,
     /// Time between heartbeats and between polls, in milliseconds.
     pub interval_ms: u64,
+    /// Longest silence of a caller that sends, in milliseconds.
+    pub send_timeout_ms: u64,
+    /// Longest time a caller leaves written bytes unread, in milliseconds.
+    pub read_timeout_ms: u64,
 }
 
 impl FleetOptions {
@@ -64,6 +68,8 @@
             log: LogOptions::default(),
             list_lag_ms: 500,
             interval_ms: 200,
+            send_timeout_ms: 10_000,
+            read_timeout_ms: 30_000,
         }
     }
 
@@ -283,8 +289,8 @@
             poll_ms: self.options.interval_ms,
             max_connections: 10_000,
             max_header_bytes: 32 << 10,
-            send_timeout_ms: 10_000,
-            read_timeout_ms: 30_000,
+            send_timeout_ms: self.options.send_timeout_ms,
+            read_timeout_ms: self.options.read_timeout_ms,
             drain_timeout_s: 60,
             leave_notice_ms: self.options.interval_ms * 4,
         }
