Let stand-ins pause, drop calls and lose starts

Cause: a paused process works off what came meanwhile, a start may be accepted and never come up, and a restart left calls in the plain service's load report. Change: paused plans and outage windows, drop_call, lose_starts; call counts end with their calls; load history forgets an earlier start.

--- a/marigoldctl/src/standin/args.rs
+++ b/marigoldctl/src/standin/args.rs
@@ -47,6 +47,9 @@
     /// Calls to read and never answer, without effect: `none`, `every` or how many.
     #[arg(long, default_value = "none")]
     stall: CallBudget,
+    /// Calls that lose their connection before any effect: `none`, `every` or how many.
+    #[arg(long, default_value = "none")]
+    drop_call: CallBudget,
     /// Calls that take effect and lose their connection: `none`, `every` or how many.
     #[arg(long, default_value = "none")]
     drop_answer: CallBudget,
@@ -59,7 +62,7 @@
     /// Tokens after which a streamed answer loses its connection.
     #[arg(long)]
     cut_stream_after: Option<u64>,
-    /// Outage as `<from ms>:<length ms>:<refuse|stall|vanish>`; may be repeated.
+    /// Outage as `<from ms>:<length ms>:<refuse|stall|vanish|pause>`; may be repeated.
     #[arg(long)]
     outage: Vec<OutageWindow>,
 }
@@ -73,6 +76,7 @@
             answer_delay_ms: self.answer_delay_ms,
             refuse: self.refuse,
             stall: self.stall,
+            drop_call: self.drop_call,
             drop_answer: self.drop_answer,
             stall_answer: self.stall_answer,
             stall_stream_after: self.stall_stream_after,
--- a/marigoldlock_standin/src/engine/mod.rs
+++ b/marigoldlock_standin/src/engine/mod.rs
@@ -133,6 +133,11 @@
             restarts = seen;
             engine.state().restart(Instant::now());
         }
+        if presence.borrow().paused {
+            let _ = presence.changed().await;
+            due = Instant::now();
+            continue;
+        }
         let now = Instant::now();
         let step = engine.state().begin_step(now);
         let Some(step) = step else {
--- a/marigoldlock_standin/src/engine/state.rs
+++ b/marigoldlock_standin/src/engine/state.rs
@@ -80,7 +80,6 @@
         self.draining = false;
         self.away = None;
         self.loading.clear();
-        self.load = LoadHistory::new(self.options.load_lag_ms);
         self.note_load(now);
     }
 
--- a/marigoldlock_standin/src/engine/tests.rs
+++ b/marigoldlock_standin/src/engine/tests.rs
@@ -280,6 +280,17 @@
     assert!(engine.submit(&chat(1, 1), 0).is_ok());
 }
 
+#[test]
+fn crash_during_a_change_leaves_the_first_setup() {
+    let mut engine = TestEngine::new(EngineOptions::default());
+    engine.order(1, "a", EngineAction::SetRole(EngineRole::Decode));
+    engine.wait(1000);
+    engine.state.restart(engine.now);
+    engine.wait(3000);
+    let setup = engine.state.setup(engine.now);
+    assert_eq!((setup.role, setup.changing), (EngineRole::Mixed, false));
+}
+
 #[test]
 fn decode_role_works_through_prompts_slowly() {
     let options = EngineOptions {
--- a/marigoldlock_standin/src/faults/mod.rs
+++ b/marigoldlock_standin/src/faults/mod.rs
@@ -24,6 +24,8 @@
     Refuse,
     /// Neither run nor answer.
     Stall,
+    /// Close the connection without running.
+    DropCall,
     /// Run, then close the connection.
     DropAnswer,
     /// Run, then never answer.
@@ -46,6 +48,8 @@
 pub struct Presence {
     /// The listener and all connections are closed.
     pub absent: bool,
+    /// Nothing is read, run or answered until this ends.
+    pub paused: bool,
     /// Grows with every restart.
     pub restarts: u64,
     /// Grows whenever the open connections fall silent.
@@ -83,6 +87,7 @@
         let set_at = Instant::now();
         let presence = Presence {
             absent: plan.absent_at(0),
+            paused: plan.paused_at(0),
             ..Presence::default()
         };
         let state = KnobState {
@@ -149,8 +154,10 @@
         let fate = match outage {
             Some(OutageKind::Refuse) => CallFate::Refuse,
             Some(OutageKind::Stall | OutageKind::Vanish) => CallFate::Stall,
+            Some(OutageKind::Pause) => CallFate::Pass,
             None if plan.refuse.take() => CallFate::Refuse,
             None if plan.stall.take() => CallFate::Stall,
+            None if plan.drop_call.take() => CallFate::DropCall,
             None if plan.drop_answer.take() => CallFate::DropAnswer,
             None if plan.stall_answer.take() => CallFate::StallAnswer,
             None => CallFate::Pass,
@@ -180,6 +187,14 @@
         self.changed.subscribe()
     }
 
+    /// Waits until the stand-in isn't paused.
+    pub(crate) async fn until_running(&self) {
+        let mut presence = self.presence();
+        if presence.wait_for(|presence| !presence.paused).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Keeps the presence in step with the plan's windows; ends never.
     pub(crate) async fn follow_plan(&self) {
         let mut changes = self.presence();
@@ -200,16 +215,21 @@
     }
 
     fn refresh(&self) -> Option<Instant> {
-        let (absent, boundary) = {
+        let (absent, paused, boundary) = {
             let state = self.state();
             let elapsed_ms = state.set_at.elapsed().as_millis() as u64;
             let boundary = state.plan.next_boundary(elapsed_ms);
             let boundary = boundary.map(|at| state.set_at + Duration::from_millis(at));
-            (state.plan.absent_at(elapsed_ms), boundary)
+            (
+                state.plan.absent_at(elapsed_ms),
+                state.plan.paused_at(elapsed_ms),
+                boundary,
+            )
         };
         self.changed.send_if_modified(|presence| {
-            let modified = presence.absent != absent;
+            let modified = presence.absent != absent || presence.paused != paused;
             presence.absent = absent;
+            presence.paused = paused;
             modified
         });
         boundary
--- a/marigoldlock_standin/src/faults/plan.rs
+++ b/marigoldlock_standin/src/faults/plan.rs
@@ -46,7 +46,7 @@
 
 /// Text that is no outage window.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("expected <from ms>:<length ms>:<refuse|stall|vanish>")]
+#[error("expected <from ms>:<length ms>:<refuse|stall|vanish|pause>")]
 pub struct WindowFormatError;
 
 /// How an outage shows.
@@ -60,6 +60,8 @@
     Stall,
     /// The listener and all connections are closed.
     Vanish,
+    /// Nothing is read, run or answered; what came meanwhile is worked off afterwards.
+    Pause,
 }
 
 /// Span of time in which a stand-in is out of service.
@@ -88,6 +90,7 @@
             None | Some("refuse") => OutageKind::Refuse,
             Some("stall") => OutageKind::Stall,
             Some("vanish") => OutageKind::Vanish,
+            Some("pause") => OutageKind::Pause,
             Some(_) => return Err(WindowFormatError),
         };
         let from_ms = from.parse().map_err(|_| WindowFormatError)?;
@@ -116,6 +119,8 @@
     pub refuse: CallBudget,
     /// Calls that are read and never answered, without effect; the connection stays open.
     pub stall: CallBudget,
+    /// Calls that lose their connection before any effect.
+    pub drop_call: CallBudget,
     /// Calls that take effect, then lose their connection without an answer.
     pub drop_answer: CallBudget,
     /// Calls that take effect and are never answered; the connection stays open.
@@ -128,6 +133,8 @@
     pub silence_open: bool,
     /// Spans of time out of service.
     pub outages: Vec<OutageWindow>,
+    /// Nothing is read, run or answered until the plan is replaced in process.
+    pub paused: bool,
     /// The listener and all connections are closed until the plan is replaced in process.
     pub gone: bool,
     /// Vanish now, and come back after so many milliseconds with a new incarnation.
@@ -170,4 +177,8 @@
             || self.restart_ms.is_some_and(|restart| elapsed_ms < restart)
             || self.outage_at(elapsed_ms) == Some(OutageKind::Vanish)
     }
+
+    pub(super) fn paused_at(&self, elapsed_ms: u64) -> bool {
+        self.paused || self.outage_at(elapsed_ms) == Some(OutageKind::Pause)
+    }
 }
--- a/marigoldlock_standin/src/load.rs
+++ b/marigoldlock_standin/src/load.rs
@@ -24,8 +24,12 @@
         }
     }
 
-    /// Notes the figures as they are now.
+    /// Notes the figures as they are now; those of an earlier start are forgotten.
     pub(crate) fn note(&mut self, figures: LoadReport, now: Instant) {
+        let before = self.figures.back();
+        if before.is_some_and(|(_, before)| before.incarnation != figures.incarnation) {
+            self.figures.clear();
+        }
         self.figures.push_back((now, figures));
         self.forget(now);
     }
--- a/marigoldlock_standin/src/ordering/mod.rs
+++ b/marigoldlock_standin/src/ordering/mod.rs
@@ -146,6 +146,11 @@
         self.shared.state().set_left(data_centre.clone(), capacity, left);
     }
 
+    /// Lets the next start orders be accepted and their upstreams never come up.
+    pub fn lose_starts(&self, count: u32) {
+        self.shared.state().lose_starts(count);
+    }
+
     /// Reclaims cheap upstreams, and gives their names.
     pub fn reclaim(&self, request: &ReclaimRequest) -> Vec<UpstreamId> {
         self.shared.reclaim(request)
@@ -193,7 +198,11 @@
     fn take(self: &Arc<Self>, order: UpstreamOrder) -> OrderAnswer {
         let (answer, effect) = self.state().take(order, self.clock.now_ms());
         match effect {
-            OrderEffect::Start(upstream) => self.spawn_start(upstream),
+            OrderEffect::Start(upstream) => {
+                if !self.state().take_lost_start() {
+                    self.spawn_start(upstream);
+                }
+            }
             OrderEffect::Leave(upstream) => self.spawn_leave(upstream, self.options.leave_ms),
             OrderEffect::None => {}
         }
--- a/marigoldlock_standin/src/ordering/routes.rs
+++ b/marigoldlock_standin/src/ordering/routes.rs
@@ -20,6 +20,7 @@
         .route("/_standin/seen", get(show_seen))
         .route("/_standin/upstreams", get(show_upstreams))
         .route("/_standin/capacity", put(set_capacity))
+        .route("/_standin/lost-starts", put(lose_starts))
         .route("/_standin/reclaim", post(reclaim))
         .with_state(shared)
 }
@@ -77,6 +78,11 @@
     StatusCode::NO_CONTENT
 }
 
+async fn lose_starts(State(ordering): State<Arc<SharedOrdering>>, Json(count): Json<u32>) -> StatusCode {
+    ordering.state().lose_starts(count);
+    StatusCode::NO_CONTENT
+}
+
 async fn reclaim(
     State(ordering): State<Arc<SharedOrdering>>,
     Json(request): Json<ReclaimRequest>,
--- a/marigoldlock_standin/src/ordering/state.rs
+++ b/marigoldlock_standin/src/ordering/state.rs
@@ -72,6 +72,7 @@
     left: FastMap<(DataCentre, CapacityKind), u32>,
     fence: FenceWatch<DataCentre>,
     started: u64,
+    lost_starts: u32,
 }
 
 impl OrderingState {
@@ -128,6 +129,18 @@
         };
     }
 
+    /// Lets the next starts be accepted and never come up.
+    pub(super) fn lose_starts(&mut self, count: u32) {
+        self.lost_starts = count;
+    }
+
+    /// Takes one off the starts that never come up; false if there is none left.
+    pub(super) fn take_lost_start(&mut self) -> bool {
+        let lost = self.lost_starts > 0;
+        self.lost_starts -= u32::from(lost);
+        lost
+    }
+
     /// Names a new upstream, if there is capacity for it.
     pub(super) fn begin_start(
         &mut self,
--- a/marigoldlock_standin/src/server.rs
+++ b/marigoldlock_standin/src/server.rs
@@ -4,6 +4,7 @@
 //! listener, when the fault plan says that the stand-in is gone. It comes back on the same address.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -204,28 +205,44 @@
         });
         let connection =
             hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let silenced = next_change(self.faults.presence(), |presence| presence.silences);
+        let presence = self.faults.presence();
         self.tracker.spawn(async move {
             tokio::pin!(connection);
-            // A silent connection is held open and never polled again.
-            tokio::select! {
-                biased;
-                () = token.cancelled() => return,
-                () = silenced => {},
-                _ = &mut connection => return,
-            }
-            token.cancelled().await;
+            drive_connection(connection, token, presence).await;
         });
     }
 }
 
-async fn next_change(mut presence: watch::Receiver<Presence>, count: fn(&Presence) -> u64) {
-    let before = count(&presence.borrow());
-    let changed = presence
-        .wait_for(|presence| count(presence) != before)
+/// Polls a connection, but for while the stand-in is paused, and no more once it has fallen silent.
+async fn drive_connection(
+    mut connection: Pin<&mut impl Future>,
+    token: CancellationToken,
+    mut presence: watch::Receiver<Presence>,
+) {
+    let silences = presence.borrow().silences;
+    loop {
+        let now = *presence.borrow_and_update();
+        let held = now.paused || now.silences != silences;
+        tokio::select! {
+            biased;
+            () = token.cancelled() => return,
+            changed = presence.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            },
+            _ = &mut connection, if !held => return,
+        }
+    }
+}
+
+async fn next_restart(mut presence: watch::Receiver<Presence>) {
+    let before = presence.borrow().restarts;
+    let restarted = presence
+        .wait_for(|presence| presence.restarts != before)
         .await
         .is_ok();
-    if !changed {
+    if !restarted {
         std::future::pending().await
     }
 }
@@ -241,7 +258,7 @@
     /// Ends when the stand-in stops or is restarted; what runs then is lost.
     fn crash(&self) -> impl Future<Output = ()> + Send + 'static {
         let stop = self.stop.clone();
-        let restart = next_change(self.faults.presence(), |presence| presence.restarts);
+        let restart = next_restart(self.faults.presence());
         async move {
             tokio::select! {
                 () = stop.cancelled() => {},
@@ -287,8 +304,11 @@
     if fault.fate == CallFate::Stall {
         return std::future::pending().await;
     }
+    if fault.fate == CallFate::DropCall {
+        return cut_connection(connection).await;
+    }
     let request = Request::from_parts(parts, Body::from(body));
-    let call = run_call(request, next, fault, connection);
+    let call = run_call(request, next, layer.faults.clone(), fault, connection);
     match layer.loss {
         CallerLoss::Cancel => call.await,
         CallerLoss::Finish => {
@@ -313,26 +333,30 @@
 async fn run_call(
     request: Request,
     next: Next,
+    faults: FaultKnobs,
     fault: CallFault,
     connection: Option<ConnectionHandle>,
 ) -> Response {
     if !fault.delay.is_zero() {
         tokio::time::sleep(fault.delay).await;
     }
+    faults.until_running().await;
     let response = next.run(request).await;
     if !fault.answer_delay.is_zero() {
         tokio::time::sleep(fault.answer_delay).await;
     }
     match fault.fate {
-        CallFate::DropAnswer => {
-            if let Some(connection) = connection {
-                connection.cut();
-            }
-            std::future::pending().await
-        }
+        CallFate::DropAnswer => cut_connection(connection).await,
         CallFate::StallAnswer => std::future::pending().await,
-        CallFate::Pass | CallFate::Refuse | CallFate::Stall => response,
+        CallFate::Pass | CallFate::Refuse | CallFate::Stall | CallFate::DropCall => response,
+    }
+}
+
+async fn cut_connection(connection: Option<ConnectionHandle>) -> Response {
+    if let Some(connection) = connection {
+        connection.cut();
     }
+    std::future::pending().await
 }
 
 fn refusal() -> Response {
--- a/marigoldlock_standin/src/service.rs
+++ b/marigoldlock_standin/src/service.rs
@@ -190,14 +190,14 @@
 
     /// Runs a call once there is room, and gives its place among those that ran.
     async fn run(&self, call: &SeenCall) -> u64 {
-        self.change(|state| state.queued += 1);
-        let room = self.room.acquire().await;
+        let queued = CallCount::new(self, |state| &mut state.queued);
+        let _room = self.room.acquire().await;
+        drop(queued);
+        let _running = CallCount::new(self, |state| &mut state.running);
         let index = self.change(|state| state.begin(call));
         if !self.work.is_zero() {
             tokio::time::sleep(self.work).await;
         }
-        self.change(|state| state.running -= 1);
-        drop(room);
         index
     }
 
@@ -235,6 +235,26 @@
     }
 }
 
+/// Counts a call for as long as it lives, also if a restart ends it early.
+struct CallCount<'a> {
+    service: &'a SharedService,
+    count: fn(&mut ServiceState) -> &mut u32,
+}
+
+impl<'a> CallCount<'a> {
+    fn new(service: &'a SharedService, count: fn(&mut ServiceState) -> &mut u32) -> Self {
+        service.change(|state| *count(state) += 1);
+        Self { service, count }
+    }
+}
+
+impl Drop for CallCount<'_> {
+    fn drop(&mut self) {
+        let count = self.count;
+        self.service.change(|state| *count(state) -= 1);
+    }
+}
+
 impl ServiceState {
     fn begin(&mut self, call: &SeenCall) -> u64 {
         let index = self.calls.len() as u64;
@@ -242,8 +262,6 @@
         if let Some(key) = &call.key {
             *self.by_key.entry(key.clone()).or_default() += 1;
         }
-        self.queued -= 1;
-        self.running += 1;
         index
     }
 }
--- a/marigoldlock_standin/tests/faults.rs
+++ b/marigoldlock_standin/tests/faults.rs
@@ -88,6 +88,42 @@
     service.close().await;
 }
 
+#[tokio::test]
+async fn paused_service_works_off_what_came_meanwhile() {
+    let service = ServiceStandin::start(ServiceOptions::default()).await.unwrap();
+    service.faults().update(|plan| plan.paused = true);
+    let call = tokio::spawn(post(service.address(), "/faces"));
+    let gone = tokio::spawn(post(service.address(), "/left"));
+    let mut answer = [0];
+    let mut silent = TcpStream::connect(service.address()).await.unwrap();
+    silent
+        .write_all(b"GET /faces HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await
+        .unwrap();
+    tokio::task::yield_now().await;
+    assert!(silent.try_read(&mut answer).is_err());
+    assert_eq!(service.seen().calls.len(), 0);
+    service.faults().clear();
+    for call in [call, gone] {
+        assert_eq!(call.await.unwrap().unwrap().status(), 200);
+    }
+    silent.read_exact(&mut answer).await.unwrap();
+    assert_eq!(service.seen().calls.len(), 3);
+    service.close().await;
+}
+
+#[tokio::test]
+async fn dropped_call_has_no_effect() {
+    let service = ServiceStandin::start(ServiceOptions::default()).await.unwrap();
+    service
+        .faults()
+        .update(|plan| plan.drop_call = CallBudget::Next(1));
+    assert!(post(service.address(), "/faces").await.is_err());
+    assert_eq!(service.seen().calls.len(), 0);
+    assert!(post(service.address(), "/faces").await.is_ok());
+    service.close().await;
+}
+
 #[tokio::test]
 async fn crash_loses_the_calls_that_wait() {
     let options = ServiceOptions {
@@ -107,6 +143,8 @@
         assert!(call.await.unwrap().is_err());
     }
     assert_eq!(service.seen().calls.len(), 1);
+    let load: LoadReport = get_json(service.address(), "/v1/load").await;
+    assert_eq!((load.running, load.queued), (0, 0));
     service.close().await;
 }
 
--- a/marigoldlock_standin/tests/platform.rs
+++ b/marigoldlock_standin/tests/platform.rs
@@ -161,6 +161,30 @@
     platform.close().await;
 }
 
+#[tokio::test]
+async fn lost_start_never_comes_up() {
+    let platform = TestPlatform::start(OrderingOptions {
+        start_ms: 0,
+        ..Default::default()
+    })
+    .await;
+    platform.ordering.lose_starts(1);
+    let lost = platform
+        .order("r1", 1, "a", start_cheap())
+        .await
+        .upstream
+        .unwrap();
+    let found = platform
+        .order("r2", 1, "a", start_cheap())
+        .await
+        .upstream
+        .unwrap();
+    let list = platform.wait_for_list(|list| !list.entries.is_empty()).await;
+    assert_eq!(list.entries[0].id, found.as_str());
+    assert!(!platform.host.names().contains(&lost));
+    platform.close().await;
+}
+
 #[tokio::test]
 async fn second_figure_and_old_epoch_of_a_usage_report_are_flagged() {
     let usage = UsageStandin::start(UsageOptions::default()).await.unwrap();
