Fold jobs, share them and estimate their deadlines

Cause: long work must outlive every instance and be answered once. Change: job records with inputs and results split over records; JobFold, JobBoard and the deadline outlook. Conclusion: the shell can build on JobBoard.

--- /dev/null
+++ b/marigoldlock_core/src/jobs/estimate.rs
@@ -0,0 +1,60 @@
+//! Whether a job can meet its deadline.
+
+use marigoldlock_wire::record::jobs::JobId;
+use serde::Serialize;
+
+use super::fold::{JobFold, JobState};
+
+/// How fast long work goes, over the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkRate {
+    /// Tokens per second; zero while it is not known.
+    pub tokens_per_s: f64,
+}
+
+/// Whether a job can meet its deadline.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeadlineOutlook {
+    /// At the present rate it will be met.
+    Expected,
+    /// At the present rate it will be missed.
+    AtRisk,
+    /// It has passed.
+    Missed,
+    /// The rate is not known.
+    Unknown,
+}
+
+/// Whether a job that is not finished can meet its deadline, with all earlier deadlines before it.
+pub fn deadline_outlook(fold: &JobFold, job: JobId, rate: WorkRate, now_ms: u64) -> DeadlineOutlook {
+    let Some(entry) = fold.get(job) else {
+        return DeadlineOutlook::Unknown;
+    };
+    let deadline_ms = entry.head.deadline_ms;
+    if let JobState::Finished { finished_ms, .. } = entry.state {
+        return match finished_ms <= deadline_ms {
+            true => DeadlineOutlook::Expected,
+            false => DeadlineOutlook::Missed,
+        };
+    }
+    if now_ms >= deadline_ms {
+        return DeadlineOutlook::Missed;
+    }
+    if rate.tokens_per_s <= 0.0 {
+        return DeadlineOutlook::Unknown;
+    }
+    let own = (deadline_ms, job);
+    let ahead: u64 = fold
+        .iter()
+        .filter(|(_, other)| !matches!(other.state, JobState::Finished { .. } | JobState::Partial))
+        .filter(|(id, other)| (other.head.deadline_ms, *id) <= own)
+        .map(|(_, other)| other.head.tokens)
+        .sum();
+    let needed_ms = ahead as f64 / rate.tokens_per_s * 1_000.0;
+    if needed_ms <= (deadline_ms - now_ms) as f64 {
+        DeadlineOutlook::Expected
+    } else {
+        DeadlineOutlook::AtRisk
+    }
+}
--- /dev/null
+++ b/marigoldlock_core/src/jobs/tests.rs
@@ -0,0 +1,298 @@
+//! Tests of jobs.
+
+use bytes::Bytes;
+use marigoldlock_wire::record::jobs::{JOB_PART_BYTES, JobEnd, JobHead, JobId, JobRecord, MAX_JOB_PARTS};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use super::*;
+use crate::prelude::*;
+
+const JOB: JobId = JobId(77);
+
+fn head(deadline_ms: u64) -> JobHead {
+    JobHead {
+        customer: Some("dairy".into()),
+        service: "copydesk-llm".into(),
+        accepted_ms: 1_000,
+        deadline_ms,
+        tokens: 500,
+    }
+}
+
+fn board(own: u64) -> JobBoard {
+    JobBoard::new(Incarnation(own), BoardLimits::default(), JobLimits::default())
+}
+
+fn alive(incarnations: &[u64]) -> FastSet<Incarnation> {
+    incarnations.iter().copied().map(Incarnation).collect()
+}
+
+#[derive(Default)]
+struct Log {
+    records: Vec<(Incarnation, JobRecord)>,
+}
+
+impl Log {
+    fn append(&mut self, writer: u64, record: JobRecord) {
+        self.records.push((Incarnation(writer), record));
+    }
+
+    fn append_all(&mut self, writer: u64, records: Vec<JobRecord>) {
+        records.into_iter().for_each(|record| self.append(writer, record));
+    }
+
+    fn read_into(&self, board: &mut JobBoard, from: usize) {
+        for (offset, (writer, record)) in self.records.iter().enumerate().skip(from) {
+            board.on_record(LogPosition::new(offset as u64, 0), *writer, record);
+        }
+    }
+}
+
+fn accepted(log: &mut Log, job: JobId, deadline_ms: u64) {
+    let records = input_records(job, &head(deadline_ms), &Bytes::from_static(b"{}")).unwrap();
+    log.append_all(9, records);
+}
+
+#[test]
+fn a_job_is_accepted_once_all_parts_of_its_input_are_there() {
+    let mut log = Log::default();
+    let data = Bytes::from(vec![b'x'; 2 * JOB_PART_BYTES + 1]);
+    log.append_all(9, input_records(JOB, &head(9_000), &data).unwrap());
+    let last = log.records.pop().unwrap();
+    let mut board = board(1);
+    log.read_into(&mut board, 0);
+    assert!(board.fold().get(JOB).is_none());
+    assert_eq!(board.next_steps(1_000, &alive(&[1])), []);
+    log.records.push(last);
+    log.read_into(&mut board, 2);
+    let entry = board.fold().get(JOB).unwrap();
+    assert_eq!(entry.input.whole().unwrap().len(), 3);
+    for (_, record) in &log.records {
+        let bytes = marigoldlock_wire::codec::encode(record).len();
+        assert!(bytes + 256 <= marigoldlock_wire::platform::MAX_RECORD_BYTES);
+    }
+    let huge = Bytes::from(vec![0; JOB_PART_BYTES * MAX_JOB_PARTS as usize + 1]);
+    assert_eq!(input_records(JOB, &head(0), &huge), None);
+}
+
+#[test]
+fn of_two_claims_the_first_in_log_order_holds_the_job() {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 9_000);
+    let (mut a, mut b) = (board(1), board(2));
+    log.read_into(&mut a, 0);
+    log.read_into(&mut b, 0);
+    // Both believe themselves alone.
+    for (own, board) in [(1, &mut a), (2, &mut b)] {
+        let steps = board.next_steps(1_000, &alive(&[own]));
+        let [JobStep::Claim(claim)] = steps[..] else {
+            panic!("{steps:?}");
+        };
+        log.append(own, JobRecord::Claim(claim));
+    }
+    log.read_into(&mut a, 1);
+    log.read_into(&mut b, 1);
+    let claim = LogPosition::new(1, 0);
+    assert_eq!(
+        a.next_steps(1_001, &alive(&[1, 2])),
+        [JobStep::Run { job: JOB, claim }]
+    );
+    assert_eq!(a.next_steps(1_002, &alive(&[1, 2])), [], "it runs once");
+    assert_eq!(b.next_steps(1_001, &alive(&[1, 2])), []);
+}
+
+#[test]
+fn another_takes_over_when_the_holder_ended_and_the_first_whole_result_wins() {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 90_000);
+    let mut a = board(1);
+    log.read_into(&mut a, 0);
+    let steps = a.next_steps(1_000, &alive(&[1]));
+    let [JobStep::Claim(claim)] = steps[..] else {
+        panic!("{steps:?}");
+    };
+    log.append(1, JobRecord::Claim(claim));
+    let mut b = board(2);
+    log.read_into(&mut b, 0);
+    assert_eq!(b.next_steps(2_000, &alive(&[1, 2])), [], "the holder lives");
+    let steps = b.next_steps(2_000, &alive(&[2]));
+    let [JobStep::Claim(claim)] = steps[..] else {
+        panic!("{steps:?}");
+    };
+    let first = LogPosition::new(1, 0);
+    assert_eq!(claim.supersedes, Some(first));
+    log.append(2, JobRecord::Claim(claim));
+    let second = LogPosition::new(2, 0);
+    let result = |claim, text: &'static str| {
+        let data = Bytes::from_static(text.as_bytes());
+        result_records(JOB, claim, JobEnd::Answered, &data, 3_000).unwrap()
+    };
+    log.append_all(2, result(second, "b"));
+    log.append_all(1, result(first, "a"));
+    let mut c = board(3);
+    log.read_into(&mut c, 0);
+    let entry = c.fold().get(JOB).unwrap();
+    assert!(matches!(entry.state, JobState::Finished { claim, .. } if claim == second));
+    assert_eq!(entry.result.whole().unwrap(), [LogPosition::new(3, 0)]);
+    assert_eq!(c.next_steps(4_000, &alive(&[3])), []);
+}
+
+#[test]
+fn earlier_deadlines_are_claimed_first() {
+    let mut log = Log::default();
+    for (job, deadline) in [
+        (1, 50_000),
+        (2, 20_000),
+        (3, 40_000),
+        (4, 30_000),
+        (5, 10_000),
+        (6, 60_000),
+    ] {
+        accepted(&mut log, JobId(job), deadline);
+    }
+    let mut board = board(1);
+    log.read_into(&mut board, 0);
+    let claimed: Vec<u128> = board
+        .next_steps(1_000, &alive(&[1]))
+        .into_iter()
+        .filter_map(|step| match step {
+            JobStep::Claim(claim) => Some(claim.job.0),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(claimed, [5, 2, 4, 3]);
+}
+
+#[test]
+fn one_of_many_instances_claims_at_once_and_the_others_only_if_it_does_not() {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 900_000);
+    let all = [1, 2, 3, 4];
+    let steps_at = |now_ms| {
+        let acting = all.iter().filter(|own| {
+            let mut board = board(**own);
+            log.read_into(&mut board, 0);
+            !board.next_steps(now_ms, &alive(&all)).is_empty()
+        });
+        acting.count()
+    };
+    assert_eq!(steps_at(1_000), 1);
+    assert_eq!(
+        steps_at(1_000 + 2 * 5_000),
+        2,
+        "the second steps in after twice the pause"
+    );
+    assert_eq!(steps_at(1_000 + 20 * 5_000), 4);
+}
+
+#[test]
+fn live_records_are_appended_again_before_they_expire_and_old_results_are_not() {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 900_000_000);
+    let mut board = board(1);
+    log.read_into(&mut board, 0);
+    let claimed = board.next_steps(1_000, &alive(&[1]));
+    assert!(matches!(claimed[..], [JobStep::Claim(_)]));
+    let limits = BoardLimits::default();
+    let later = 1_000 + limits.refresh_after_ms;
+    let steps = board.next_steps(later, &alive(&[1]));
+    let refresh = JobStep::Refresh {
+        job: JOB,
+        places: vec![LogPosition::new(0, 0)],
+    };
+    assert!(steps.contains(&refresh), "{steps:?}");
+    let JobRecord::Input(mut copy) = log.records[0].1.clone() else {
+        panic!("an input");
+    };
+    copy.written_ms = later;
+    log.append(1, JobRecord::Input(copy));
+    log.read_into(&mut board, 1);
+    board.expire(1);
+    assert!(board.fold().get(JOB).is_some(), "its newest copy is kept");
+    let done = result_records(
+        JOB,
+        LogPosition::new(5, 0),
+        JobEnd::Answered,
+        &Bytes::new(),
+        later,
+    )
+    .unwrap();
+    log.append_all(1, done);
+    log.read_into(&mut board, 2);
+    let kept = later + limits.refresh_after_ms;
+    let is_refreshed = |steps: Vec<JobStep>| steps.iter().any(|step| matches!(step, JobStep::Refresh { .. }));
+    assert!(is_refreshed(board.next_steps(kept, &alive(&[1]))));
+    assert!(!is_refreshed(
+        board.next_steps(later + limits.keep_result_ms, &alive(&[1]))
+    ));
+    board.expire(3);
+    assert!(board.fold().get(JOB).is_none());
+}
+
+#[test]
+fn the_outlook_counts_the_work_with_earlier_deadlines() {
+    let mut log = Log::default();
+    accepted(&mut log, JobId(1), 20_000);
+    accepted(&mut log, JobId(2), 10_000);
+    let mut board = board(1);
+    log.read_into(&mut board, 0);
+    let outlook = |job, rate, now| {
+        let rate = WorkRate { tokens_per_s: rate };
+        deadline_outlook(board.fold(), JobId(job), rate, now)
+    };
+    assert_eq!(outlook(2, 100.0, 5_000), DeadlineOutlook::Expected);
+    assert_eq!(outlook(1, 100.0, 5_000), DeadlineOutlook::Expected);
+    assert_eq!(outlook(1, 100.0, 11_000), DeadlineOutlook::AtRisk);
+    assert_eq!(outlook(2, 100.0, 10_000), DeadlineOutlook::Missed);
+    assert_eq!(outlook(2, 0.0, 5_000), DeadlineOutlook::Unknown);
+}
+
+/// Records in any order and number of repeats after the input: all readers agree, and the answer never changes.
+#[test]
+fn a_job_is_answered_once_in_any_order_of_records() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[13; 32]);
+    let config = Config {
+        cases: 500,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let steps = prop::collection::vec((0..4_u8, 1..4_u64, 0..6_u64), 1..40);
+    TestRunner::new_with_rng(config, rng)
+        .run(&steps, |steps| check_answer(&steps))
+        .unwrap();
+}
+
+fn check_answer(steps: &[(u8, u64, u64)]) -> Result<(), TestCaseError> {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 9_000);
+    for (kind, writer, at) in steps {
+        let claim = LogPosition::new(*at, 0);
+        let data = Bytes::from(vec![b'r'; JOB_PART_BYTES + 1]);
+        let mut results = result_records(JOB, claim, JobEnd::Answered, &data, 2_000).unwrap();
+        let record = match kind {
+            0 => JobRecord::Claim(marigoldlock_wire::record::jobs::JobClaim {
+                job: JOB,
+                supersedes: (*at > 0).then_some(claim),
+            }),
+            1 => results.remove(0),
+            2 => results.remove(1),
+            _ => log.records[0].1.clone(),
+        };
+        log.append(*writer, record);
+    }
+    let mut fold = JobFold::new(JobLimits::default());
+    let mut answer: Option<JobState> = None;
+    for (offset, (writer, record)) in log.records.iter().enumerate() {
+        fold.apply(LogPosition::new(offset as u64, 0), *writer, record);
+        let state = &fold.get(JOB).unwrap().state;
+        if let Some(answer) = &answer {
+            prop_assert_eq!(state, answer);
+        }
+        if matches!(state, JobState::Finished { .. }) {
+            answer = Some(state.clone());
+            prop_assert!(fold.get(JOB).unwrap().result.whole().is_some());
+        }
+    }
+    Ok(())
+}
