--- a/marigoldlock_standin/src/engine/mod.rs
+++ b/marigoldlock_standin/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod routes;
 mod seen;
+mod setup;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -29,7 +30,7 @@
 
 pub use self::options::EngineOptions;
 pub use self::seen::{EngineSeen, RequestOutcome, SeenOrder, SeenRequest};
-pub use self::state::EngineSetup;
+pub use self::setup::EngineSetup;
 use self::state::EngineState;
 pub use self::text::{OutputText, expected_text};
 pub use self::weights::WeightStore;
--- a/marigoldlock_standin/src/engine/state.rs
+++ b/marigoldlock_standin/src/engine/state.rs
@@ -8,7 +8,7 @@
     CacheEvents, ChatRequest, EngineAction, EngineOrder, EngineRole, KvTransfer, LoadReport, prefix_hashes,
     prompt_tokens,
 };
-use marigoldlock_wire::ids::{Incarnation, ModelId};
+use marigoldlock_wire::ids::Incarnation;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::time::Instant;
 
@@ -17,28 +17,17 @@
 use super::options::EngineOptions;
 use super::refusal::EngineRefusal;
 use super::seen::{EngineSeen, RequestOutcome, SeenLog, SeenRequest};
+use super::setup::{ChangeQueue, EngineSetup};
 use super::text::expected_text;
 use crate::load::LoadHistory;
 
-/// Change that ends at a time.
-#[derive(Debug)]
-struct PendingChange {
-    ends_at: Instant,
-    action: EngineAction,
-}
-
 /// State of an engine.
 #[derive(Debug)]
 pub(super) struct EngineState {
     options: EngineOptions,
     incarnation: Incarnation,
-    role: EngineRole,
-    models: Vec<ModelId>,
-    adapters: Vec<String>,
-    version: Option<String>,
-    draining: bool,
-    away: Option<PendingChange>,
-    loading: Vec<PendingChange>,
+    setup: EngineSetup,
+    changes: ChangeQueue,
     batch: RequestBatch,
     cache: PrefixCache,
     load: LoadHistory,
@@ -51,13 +40,8 @@
         let incarnation = options.incarnation.unwrap_or_else(|| Incarnation(rand::random()));
         let mut state = Self {
             incarnation,
-            role: options.role,
-            models: options.models.clone(),
-            adapters: Vec::new(),
-            version: None,
-            draining: false,
-            away: None,
-            loading: Vec::new(),
+            setup: EngineSetup::new(&options),
+            changes: ChangeQueue::default(),
             batch: RequestBatch::default(),
             cache: PrefixCache::default(),
             load: LoadHistory::new(options.load_lag_ms),
@@ -73,13 +57,8 @@
         self.batch.cut_all(&mut self.seen);
         self.cache = PrefixCache::default();
         self.incarnation = Incarnation(self.incarnation.0.wrapping_add(1));
-        self.role = self.options.role;
-        self.models = self.options.models.clone();
-        self.adapters.clear();
-        self.version = None;
-        self.draining = false;
-        self.away = None;
-        self.loading.clear();
+        self.setup = EngineSetup::new(&self.options);
+        self.changes = ChangeQueue::default();
         self.note_load(now);
     }
 
@@ -130,7 +109,7 @@
     /// Begins a step of the batch and gives its length; `None` if there is nothing to do.
     pub(super) fn begin_step(&mut self, now: Instant) -> Option<Duration> {
         self.settle(now);
-        let slowdown = match self.role {
+        let slowdown = match self.setup.role {
             EngineRole::Mixed | EngineRole::Prefill => 1.0,
             EngineRole::Decode => self.options.decode_prefill_slowdown,
         };
@@ -217,14 +196,7 @@
     /// Role, models, adapters and version, as they are now.
     pub(super) fn setup(&mut self, now: Instant) -> EngineSetup {
         self.settle(now);
-        EngineSetup {
-            role: self.role,
-            models: self.models.clone(),
-            adapters: self.adapters.clone(),
-            version: self.version.clone(),
-            draining: self.draining,
-            changing: self.away.is_some(),
-        }
+        self.setup.clone()
     }
 
     fn refusal(
@@ -239,13 +211,13 @@
         if context > limit {
             return Some(EngineRefusal::TooLong);
         }
-        if !self.models.is_empty() && !self.models.contains(&request.model) {
+        if !self.setup.serves(&request.model) {
             return Some(EngineRefusal::UnknownModel);
         }
-        if self.away.is_some() {
+        if self.setup.changing {
             return Some(EngineRefusal::Changing);
         }
-        if self.draining {
+        if self.setup.draining {
             return Some(EngineRefusal::Draining);
         }
         if self.batch.queued() >= self.options.queue_limit {
@@ -253,7 +225,7 @@
         }
         let cached = self.cache.count_prefix(blocks) * marigoldlock_wire::engine::CACHE_BLOCK_TOKENS;
         let uncached = prompt_tokens.saturating_sub(cached as u64);
-        let fits = match self.role {
+        let fits = match self.setup.role {
             EngineRole::Mixed => true,
             EngineRole::Prefill => output_tokens <= 1,
             EngineRole::Decode => self
@@ -265,50 +237,16 @@
     }
 
     fn begin_change(&mut self, action: EngineAction, now: Instant) {
-        match action {
-            EngineAction::SetRole(_) | EngineAction::SetVersion(_) => {
-                self.batch.cut_all(&mut self.seen);
-                self.cache = PrefixCache::default();
-                let ends_at = now + Duration::from_millis(self.options.change_ms);
-                self.away = Some(PendingChange { ends_at, action });
-            }
-            EngineAction::LoadModel(_) => {
-                let ends_at = self.options.weights.load(now);
-                self.loading.push(PendingChange { ends_at, action });
-            }
-            EngineAction::LoadAdapter(_) => {
-                let ends_at = now + Duration::from_millis(self.options.adapter_ms);
-                self.loading.push(PendingChange { ends_at, action });
-            }
-            EngineAction::Drain => self.draining = true,
-            EngineAction::Undrain => self.draining = false,
+        let goes_away = self.changes.begin(action, &mut self.setup, &self.options, now);
+        if goes_away {
+            self.batch.cut_all(&mut self.seen);
+            self.cache = PrefixCache::default();
         }
     }
 
     fn settle(&mut self, now: Instant) {
-        let mut ended: Vec<PendingChange> = self
-            .loading
-            .extract_if(.., |change| change.ends_at <= now)
-            .collect();
-        ended.extend(self.away.take_if(|change| change.ends_at <= now));
-        for change in ended {
-            self.end_change(change.action);
-            self.note_load(change.ends_at);
-        }
-    }
-
-    fn end_change(&mut self, action: EngineAction) {
-        match action {
-            EngineAction::SetRole(role) => self.role = role,
-            EngineAction::SetVersion(version) => self.version = Some(version),
-            EngineAction::LoadModel(model) if !self.models.contains(&model) => self.models.push(model),
-            EngineAction::LoadAdapter(adapter) if !self.adapters.contains(&adapter) => {
-                self.adapters.push(adapter);
-            }
-            EngineAction::LoadModel(_)
-            | EngineAction::LoadAdapter(_)
-            | EngineAction::Drain
-            | EngineAction::Undrain => {}
+        while let Some(ended_at) = self.changes.end_next(&mut self.setup, now) {
+            self.note_load(ended_at);
         }
     }
 
@@ -317,8 +255,8 @@
         let speed = 1.0 / step_seconds(&self.options, self.batch.decoding());
         let figures = LoadReport {
             incarnation: self.incarnation,
-            role: self.role,
-            changing: self.away.is_some(),
+            role: self.setup.role,
+            changing: self.setup.changing,
             running: running as u32,
             queued: self.batch.queued() as u32,
             prefill_backlog_tokens: self.batch.prefill_backlog(),
@@ -327,26 +265,9 @@
             prefill_tokens_per_s: self.options.prefill_tokens_per_s,
             decode_tokens_per_s: speed,
             slots: self.options.slots,
-            models: self.models.clone(),
+            models: self.setup.models.clone(),
             ..LoadReport::default()
         };
         self.load.note(figures, now);
     }
 }
-
-/// What an engine is set up for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineSetup {
-    /// Role.
-    pub role: EngineRole,
-    /// Models loaded.
-    pub models: Vec<ModelId>,
-    /// Adapters loaded.
-    pub adapters: Vec<String>,
-    /// Version, once one was ordered.
-    pub version: Option<String>,
-    /// True while no new work is taken by order.
-    pub draining: bool,
-    /// True while a change takes the engine away.
-    pub changing: bool,
-}
--- a/marigoldlock_standin/src/load.rs
+++ b/marigoldlock_standin/src/load.rs
@@ -30,7 +30,8 @@
         if before.is_some_and(|(_, before)| before.incarnation != figures.incarnation) {
             self.figures.clear();
         }
-        self.figures.push_back((now, figures));
+        let newest = self.figures.back().map_or(now, |(made, _)| now.max(*made));
+        self.figures.push_back((newest, figures));
         self.forget(now);
     }
 
--- a/marigoldlock_standin/src/service.rs
+++ b/marigoldlock_standin/src/service/mod.rs
@@ -3,7 +3,8 @@
 //! It takes any method and path, writes down each call that it ran, in order, and answers with what it got,
 //! so that a test can check what arrived. `GET /_standin/seen` gives the calls over HTTP.
 
-use std::collections::BTreeMap;
+mod seen;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -16,10 +17,10 @@
 use marigoldlock_wire::FastMap;
 use marigoldlock_wire::engine::{LoadReport, REQUEST_ID_HEADER};
 use marigoldlock_wire::ids::Incarnation;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
+pub use self::seen::{EchoAnswer, SeenCall, SeenCalls};
 use crate::faults::{FaultKnobs, FaultPlan};
 use crate::headers::{header_texts, text_header};
 use crate::load::LoadHistory;
@@ -55,43 +56,6 @@
     }
 }
 
-/// Call that the service ran.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SeenCall {
-    /// Method.
-    pub method: String,
-    /// Path with its query.
-    pub path: String,
-    /// `Idempotency-Key`, if there was one.
-    pub key: Option<String>,
-    /// `x-request-id`, if there was one.
-    pub request_id: Option<String>,
-    /// Blake3 hash of the body, in hexadecimal.
-    pub body_hash: String,
-}
-
-/// Calls that the service ran, in order, and the keys that came more than once.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SeenCalls {
-    /// The calls.
-    pub calls: Vec<SeenCall>,
-    /// Keys that came more than once, with the number of their calls.
-    pub duplicates: BTreeMap<String, u64>,
-}
-
-/// Answer of the service: what it got.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EchoAnswer {
-    /// Place among the calls that the service ran, from 0.
-    pub index: u64,
-    /// The call.
-    pub call: SeenCall,
-    /// Headers in the order of their names; a repeated one keeps all values.
-    pub headers: BTreeMap<String, Vec<String>>,
-    /// The body, as text.
-    pub body: String,
-}
-
 /// Running service stand-in.
 #[derive(Debug)]
 pub struct ServiceStandin {
