Don't take a slow attempt for a dead upstream

Change: an attempt is given up after 5 s only if its whole upstream is silent and it is not long work, otherwise after 60 s; giving up one whose upstream answers others does not count against the upstream; a request ends with its deadline and not with a number of retries. The program's own progress deadlines should follow the same rule.

--- a/marigoldctl/src/load/attempts.rs
+++ b/marigoldctl/src/load/attempts.rs
@@ -15,8 +15,8 @@
 /// Time after which a request that no upstream can take is tried again.
 const REROUTE_MS: f64 = 100.0;
 
-/// Attempts after which a request is given up.
-const MOST_RETRIES: u32 = 10;
+/// Retries that are sent at once.
+const PROMPT_RETRIES: u32 = 3;
 
 /// How many times longer an attempt may be silent while its upstream answers others.
 const LIVE_PATIENCE: u64 = 12;
@@ -289,11 +289,13 @@
         request.interrupted = true;
         request.interrupted_on_cheap |= cheap && gone;
         request.exclude.push(upstream.id.clone());
-        if request.retries > MOST_RETRIES {
-            self.finish(state.request, RequestPhase::Failed);
-            return;
-        }
-        self.route(state.request);
+        // A resumed request is given up with its deadline, not with a number of attempts.
+        let wait = if request.retries > PROMPT_RETRIES {
+            REROUTE_MS
+        } else {
+            0.0
+        };
+        self.schedule_in(from_ms(wait), ReplayEvent::Reroute(state.request));
     }
 
     /// Breaks every attempt at an upstream.
@@ -316,31 +318,44 @@
 
     /// Gives up the instance's attempts that have been silent for too long.
     ///
-    /// An attempt whose upstream answers others is only slow, so it gets more time; long work gets all of it.
+    /// An attempt whose upstream answers others is only slow, so it gets more time, and giving it up says
+    /// nothing of the upstream. Long work always gets that time.
     pub(super) fn give_up_silent(&mut self, instance: usize) {
         let limit = from_s(self.experiment.entry.silence_s);
         let now = self.time();
         let table = &self.instances[instance].table;
-        let silent = self.attempts.iter().filter(|(_, state)| {
+        let mut silent = Vec::new();
+        for (&attempt, state) in self
+            .attempts
+            .iter()
+            .filter(|(_, state)| state.instance == instance)
+        {
             let silence = self.now.saturating_sub(state.progress_at);
-            if state.instance != instance || silence <= limit {
-                return false;
-            }
             let id = &self.fleet.upstreams[state.upstream].id;
-            let dead = table
-                .state(id)
-                .is_none_or(|seen| seen.silence(now).as_micros() as u64 > limit);
+            let seen = table.state(id);
+            let dead = seen.is_none_or(|seen| seen.silence(now).as_micros() as u64 > limit);
             let patient = self.requests[state.request].class == WorkClass::Long;
-            dead || (!patient && silence > limit * LIVE_PATIENCE)
-        });
-        let mut silent: Vec<u64> = silent.map(|(attempt, _)| *attempt).collect();
+            let patience = if patient || !dead {
+                limit * LIVE_PATIENCE
+            } else {
+                limit
+            };
+            if silence > patience {
+                silent.push((attempt, dead));
+            }
+        }
         silent.sort_unstable();
-        for attempt in silent {
+        for (attempt, dead) in silent {
             let Some(state) = self.attempts.get(&attempt) else {
                 continue;
             };
             self.fleet.upstreams[state.upstream].engine.cancel(attempt);
-            self.end_attempt(attempt, AttemptOutcome::TimedOut);
+            let outcome = if dead {
+                AttemptOutcome::TimedOut
+            } else {
+                AttemptOutcome::Cancelled
+            };
+            self.end_attempt(attempt, outcome);
         }
     }
 }
--- a/marigoldlock_core/src/routing/upstream.rs
+++ b/marigoldlock_core/src/routing/upstream.rs
@@ -167,7 +167,7 @@
     }
 
     /// Prefill speed in tokens per second.
-    pub(super) fn prefill_rate(&self, params: &RouteParams) -> f64 {
+    pub fn prefill_rate(&self, params: &RouteParams) -> f64 {
         match &self.report {
             Some(hint) if hint.prefill_rate > 0.0 => hint.prefill_rate,
             _ => params.default_prefill_tokens_per_s,
