--- a/marigoldctl/src/standin/args.rs
+++ b/marigoldctl/src/standin/args.rs
@@ -56,6 +56,12 @@
     /// Calls that take effect and are never answered: `none`, `every` or how many.
     #[arg(long, default_value = "none")]
     stall_answer: CallBudget,
+    /// Answers of an engine that belong to the request before: `none`, `every` or how many.
+    #[arg(long, default_value = "none")]
+    cross_answer: CallBudget,
+    /// How many times as long work takes.
+    #[arg(long)]
+    slowdown: Option<f64>,
     /// Tokens after which a streamed answer falls silent.
     #[arg(long)]
     stall_stream_after: Option<u64>,
@@ -79,6 +85,8 @@
             drop_call: self.drop_call,
             drop_answer: self.drop_answer,
             stall_answer: self.stall_answer,
+            cross_answer: self.cross_answer,
+            slowdown: self.slowdown,
             stall_stream_after: self.stall_stream_after,
             cut_stream_after: self.cut_stream_after,
             outages: self.outage,
--- a/marigoldlock_standin/src/engine/chat.rs
+++ b/marigoldlock_standin/src/engine/chat.rs
@@ -10,81 +10,26 @@
 use axum::http::{HeaderMap, HeaderValue, header};
 use axum::response::{IntoResponse, Response};
 use futures::stream;
-use marigoldlock_wire::engine::{
-    ATTEMPT_HEADER, ChatRequest, ChatUsage, PRIORITY_HEADER, REQUEST_ID_HEADER, prompt_tokens,
-};
+use marigoldlock_wire::engine::{ChatRequest, PRIORITY_HEADER};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 
 use super::SharedEngine;
+use super::answer::AnswerPlan;
 use super::batch::OutputEvent;
-use super::chunk::ChunkTemplate;
 use super::seen::{RequestOutcome, SeenRequest};
-use super::text::OutputText;
-use crate::faults::{FaultKnobs, StreamFault};
+use crate::faults::{CallFate, CallFault, FaultKnobs, StreamFault};
 use crate::headers::{header_texts, text_header};
 use crate::server::ConnectionHandle;
 
 /// Priority of a request that has none of its own.
 const DEFAULT_PRIORITY: u8 = 4;
 
-/// What an answer is made from.
-#[derive(Clone, Debug)]
-struct AnswerPlan {
-    template: ChunkTemplate,
-    output: OutputText,
-    resumed_tokens: u64,
-    usage: ChatUsage,
-    finish_reason: &'static str,
-}
-
-impl AnswerPlan {
-    fn new(engine: &SharedEngine, headers: &HeaderMap, request: &ChatRequest, default_tokens: u64) -> Self {
-        let id = text_header(headers, REQUEST_ID_HEADER).unwrap_or_default();
-        let created = engine.clock.now_ms() / 1000;
-        let usage = ChatUsage {
-            prompt_tokens: prompt_tokens(&request.messages),
-            completion_tokens: request.max_tokens.unwrap_or(default_tokens),
-            cached_tokens: 0,
-        };
-        Self {
-            template: ChunkTemplate::new(&id, &request.model, created),
-            output: OutputText::new(&request.messages),
-            resumed_tokens: request.resume.as_ref().map_or(0, |resume| resume.tokens),
-            usage,
-            finish_reason: if request.max_tokens.is_some() {
-                "length"
-            } else {
-                "stop"
-            },
-        }
-    }
-
-    fn end(&self, cached_tokens: u64) -> String {
-        let usage = ChatUsage {
-            cached_tokens,
-            ..self.usage
-        };
-        self.template.end(self.finish_reason, usage)
-    }
-
-    fn whole(&self, cached_tokens: u64) -> Response {
-        let mut text = String::new();
-        for index in self.resumed_tokens..self.usage.completion_tokens {
-            self.output.push_token(index, &mut text);
-        }
-        let usage = ChatUsage {
-            cached_tokens,
-            ..self.usage
-        };
-        Json(self.template.whole(&text, self.finish_reason, usage)).into_response()
-    }
-}
-
 /// Answers `POST /v1/chat/completions`.
 pub(super) async fn complete(
     State(engine): State<Arc<SharedEngine>>,
     Extension(connection): Extension<ConnectionHandle>,
+    Extension(fault): Extension<CallFault>,
     headers: HeaderMap,
     Json(request): Json<ChatRequest>,
 ) -> Response {
@@ -95,22 +40,25 @@
             .unwrap_or(DEFAULT_PRIORITY),
         ..SeenRequest::default()
     };
+    let created = engine.clock.now_ms() / 1000;
+    let plan = AnswerPlan::new(&headers, &request, engine.options.default_tokens, created);
+    let before = engine.swap_answer(&plan);
+    let plan = match fault.fate {
+        CallFate::CrossAnswer => before.unwrap_or(plan),
+        _ => plan,
+    };
     let mut response = match engine.options.burst {
-        true => answer_burst(&engine, &headers, &request, record),
-        false => answer_batched(&engine, connection, &headers, &request, record).await,
+        true => answer_burst(&engine, plan.clone(), &request, record),
+        false => answer_batched(&engine, connection, plan.clone(), &request, record).await,
     };
-    for name in [REQUEST_ID_HEADER, ATTEMPT_HEADER] {
-        if let Some(value) = headers.get(name) {
-            response.headers_mut().insert(name, value.clone());
-        }
-    }
+    plan.repeat_ids(response.headers_mut());
     response
 }
 
 async fn answer_batched(
     engine: &Arc<SharedEngine>,
     connection: ConnectionHandle,
-    headers: &HeaderMap,
+    plan: AnswerPlan,
     request: &ChatRequest,
     record: SeenRequest,
 ) -> Response {
@@ -124,7 +72,6 @@
         events,
         engine: Arc::clone(engine),
     };
-    let plan = AnswerPlan::new(engine, headers, request, engine.options.default_tokens);
     if request.stream {
         return stream_answer(engine, connection, plan, events);
     }
@@ -222,11 +169,10 @@
 
 fn answer_burst(
     engine: &SharedEngine,
-    headers: &HeaderMap,
+    plan: AnswerPlan,
     request: &ChatRequest,
     record: SeenRequest,
 ) -> Response {
-    let plan = AnswerPlan::new(engine, headers, request, engine.options.default_tokens);
     engine.state().note_request(SeenRequest {
         model: Some(request.model.clone()),
         prompt_tokens: plan.usage.prompt_tokens,
--- a/marigoldlock_standin/src/engine/mod.rs
+++ b/marigoldlock_standin/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! resumed stream can be compared with an unbroken one. In burst mode it gives its output as fast as the
 //! reader takes it. A change of role or version cuts what runs: whoever orders one has to drain first.
 
+mod answer;
 mod batch;
 mod cache;
 mod chat;
@@ -28,6 +29,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use self::answer::AnswerPlan;
 pub use self::options::EngineOptions;
 pub use self::seen::{EngineSeen, RequestOutcome, SeenOrder, SeenRequest};
 pub use self::setup::EngineSetup;
@@ -55,6 +57,7 @@
     clock: UnixClock,
     faults: FaultKnobs,
     work: Notify,
+    last_answer: Mutex<Option<AnswerPlan>>,
     state: Mutex<EngineState>,
 }
 
@@ -72,6 +75,7 @@
             clock: UnixClock::new(),
             faults: faults.clone(),
             work: Notify::new(),
+            last_answer: Mutex::default(),
         });
         let routes = routes::routes(Arc::clone(&shared));
         let listen = shared.options.listen;
@@ -121,6 +125,12 @@
     fn state(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().expect("no panic while held")
     }
+
+    /// Keeps the plan of an answer, and gives the one before it.
+    fn swap_answer(&self, plan: &AnswerPlan) -> Option<AnswerPlan> {
+        let mut last = self.last_answer.lock().expect("no panic while held");
+        last.replace(plan.clone())
+    }
 }
 
 /// Runs the batch step by step, and starts the engine again when its faults say so.
@@ -149,7 +159,7 @@
             due = Instant::now();
             continue;
         };
-        due = step_end(due, now, step);
+        due = step_end(due, now, engine.faults.slow_down(step));
         tokio::select! {
             () = tokio::time::sleep_until(due) => engine.state().end_step(Instant::now()),
             _ = presence.changed() => {},
--- a/marigoldlock_standin/src/faults/mod.rs
+++ b/marigoldlock_standin/src/faults/mod.rs
@@ -30,6 +30,8 @@
     DropAnswer,
     /// Run, then never answer.
     StallAnswer,
+    /// Run, then give the answer to the request before.
+    CrossAnswer,
 }
 
 /// Fate of one call with its delays.
@@ -160,6 +162,7 @@
             None if plan.drop_call.take() => CallFate::DropCall,
             None if plan.drop_answer.take() => CallFate::DropAnswer,
             None if plan.stall_answer.take() => CallFate::StallAnswer,
+            None if plan.cross_answer.take() => CallFate::CrossAnswer,
             None => CallFate::Pass,
         };
         CallFault {
@@ -169,6 +172,23 @@
         }
     }
 
+    /// How the stand-in is out of service now, if it is.
+    pub fn outage(&self) -> Option<OutageKind> {
+        let state = self.state();
+        let elapsed_ms = state.set_at.elapsed().as_millis() as u64;
+        state.plan.outage_at(elapsed_ms)
+    }
+
+    /// Time that work takes with the present slowdown.
+    pub fn slow_down(&self, work: Duration) -> Duration {
+        match self.state().plan.slowdown {
+            Some(factor) if factor > 0.0 => {
+                Duration::try_from_secs_f64(work.as_secs_f64() * factor).unwrap_or(work)
+            }
+            _ => work,
+        }
+    }
+
     /// What happens to a streamed answer that has given so many tokens.
     pub fn stream_fault(&self, given: u64) -> StreamFault {
         let state = self.state();
--- a/marigoldlock_standin/src/faults/plan.rs
+++ b/marigoldlock_standin/src/faults/plan.rs
@@ -125,6 +125,10 @@
     pub drop_answer: CallBudget,
     /// Calls that take effect and are never answered; the connection stays open.
     pub stall_answer: CallBudget,
+    /// Answers of an engine that carry the ids and the text of the request before.
+    pub cross_answer: CallBudget,
+    /// Work takes so many times as long.
+    pub slowdown: Option<f64>,
     /// Streamed answers fall silent after so many tokens; the connection stays open.
     pub stall_stream_after: Option<u64>,
     /// Streamed answers lose their connection after so many tokens.
--- a/marigoldlock_standin/src/server/layer.rs
+++ b/marigoldlock_standin/src/server/layer.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection::ConnectionHandle;
-use crate::faults::{CallFate, CallFault, FaultKnobs, FaultPlan, Presence};
+use crate::faults::{CallFate, CallFault, FaultKnobs, FaultPlan, OutageKind, Presence};
 
 /// Largest body that a stand-in takes, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -93,7 +93,8 @@
     if fault.fate == CallFate::DropCall {
         return cut_connection(connection).await;
     }
-    let request = Request::from_parts(parts, Body::from(body));
+    let mut request = Request::from_parts(parts, Body::from(body));
+    request.extensions_mut().insert(fault);
     let call = run_call(request, next, layer.faults.clone(), fault, connection);
     match layer.loss {
         CallerLoss::Cancel => call.await,
@@ -131,10 +132,11 @@
     if !fault.answer_delay.is_zero() {
         tokio::time::sleep(fault.answer_delay).await;
     }
-    match fault.fate {
-        CallFate::DropAnswer => cut_connection(connection).await,
-        CallFate::StallAnswer => std::future::pending().await,
-        CallFate::Pass | CallFate::Refuse | CallFate::Stall | CallFate::DropCall => response,
+    // An outage takes the answers of the calls under way with it.
+    match (fault.fate, faults.outage()) {
+        (CallFate::DropAnswer, _) | (_, Some(OutageKind::Refuse)) => cut_connection(connection).await,
+        (CallFate::StallAnswer, _) | (_, Some(OutageKind::Stall)) => std::future::pending().await,
+        _ => response,
     }
 }
 
--- a/marigoldlock_standin/src/service/mod.rs
+++ b/marigoldlock_standin/src/service/mod.rs
@@ -160,7 +160,7 @@
         let _running = CallCount::new(self, |state| &mut state.running);
         let index = self.change(|state| state.begin(call));
         if !self.work.is_zero() {
-            tokio::time::sleep(self.work).await;
+            tokio::time::sleep(self.faults.slow_down(self.work)).await;
         }
         index
     }
--- a/marigoldlock_standin/tests/basics.rs
+++ b/marigoldlock_standin/tests/basics.rs
@@ -56,17 +56,19 @@
 }
 
 #[tokio::test]
-async fn dropped_answer_leaves_the_effect() {
+async fn dropped_answer_leaves_the_effect_once() {
     let log = LogStandin::start(LogOptions::default()).await.unwrap();
     let url = format!("http://{}/v1/streams/settings/records", log.address());
+    let client = reqwest::Client::new();
+    assert!(client.post(&url).body("kept").send().await.is_ok());
     log.faults().update(|plan| {
         plan.method = Some("POST".into());
         plan.drop_answer = CallBudget::Next(1);
     });
-    let client = reqwest::Client::new();
     assert!(client.post(&url).body("lost").send().await.is_err());
-    assert!(client.post(&url).body("kept").send().await.is_ok());
     assert_eq!(log.records("settings", 0).records.len(), 2);
+    assert!(client.post(&url).body("kept").send().await.is_ok());
+    assert_eq!(log.records("settings", 0).records.len(), 3);
     log.close().await;
 }
 
--- a/marigoldlock_standin/tests/faults.rs
+++ b/marigoldlock_standin/tests/faults.rs
@@ -7,7 +7,7 @@
 use common::{chat_body, get_json, stream_text};
 use marigoldlock_standin::faults::{OutageKind, OutageWindow};
 use marigoldlock_standin::prelude::*;
-use marigoldlock_wire::engine::LoadReport;
+use marigoldlock_wire::engine::{LoadReport, REQUEST_ID_HEADER};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -159,6 +159,59 @@
     engine.close().await;
 }
 
+#[tokio::test]
+async fn crossed_answer_belongs_to_the_request_before() {
+    let engine = quick_engine().await;
+    let url = format!("http://{}/v1/chat/completions", engine.address());
+    let client = reqwest::Client::new();
+    let mut answers = Vec::new();
+    for (id, content) in [("1", "first"), ("2", "second")] {
+        let (_, body) = chat_body(content, 3);
+        let request = client.post(&url).header(REQUEST_ID_HEADER, id).json(&body);
+        let answer = request.send().await.unwrap();
+        let id = answer.headers()[REQUEST_ID_HEADER].to_str().unwrap().to_owned();
+        answers.push((id, answer.text().await.unwrap()));
+        engine
+            .faults()
+            .update(|plan| plan.cross_answer = CallBudget::Next(1));
+    }
+    assert_eq!(answers[0].0, "1");
+    assert_eq!(answers[0], answers[1]);
+    engine.close().await;
+}
+
+#[tokio::test]
+async fn outage_takes_the_answers_under_way_with_it() {
+    let log = LogStandin::start(LogOptions::default()).await.unwrap();
+    let url = format!(
+        "http://{}/v1/streams/s/records?from=0&max=1&wait_ms=50",
+        log.address()
+    );
+    let read = tokio::spawn(reqwest::get(url));
+    while log.faults().calls_begun() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let window = OutageWindow {
+        from_ms: 0,
+        for_ms: 3_600_000,
+        kind: OutageKind::Refuse,
+    };
+    log.faults().update(|plan| plan.outages = vec![window]);
+    assert!(read.await.unwrap().is_err());
+    log.close().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn slowdown_stretches_work() {
+    let knobs = FaultKnobs::default();
+    let work = std::time::Duration::from_millis(100);
+    assert_eq!(knobs.slow_down(work), work);
+    for (factor, expected_ms) in [(2.5, 250), (-1.0, 100), (f64::NAN, 100)] {
+        knobs.update(|plan| plan.slowdown = Some(factor));
+        assert_eq!(knobs.slow_down(work).as_millis(), expected_ms);
+    }
+}
+
 #[tokio::test]
 async fn restarted_engine_has_another_incarnation() {
     let engine = quick_engine().await;
