Admit and route a request in one message

Change: an admitted request's first route comes with its admission; a repeatable plain call keeps its place until its body has passed.

--- a/marigoldlock/src/calls/runner.rs
+++ b/marigoldlock/src/calls/runner.rs
@@ -65,16 +65,20 @@
     /// Another upstream is tried only if no byte left for the last one, and none once the gate has closed.
     pub async fn run(&self, call: &CallRequest, gate: &SendGate) -> (CallAnswer, CallOutcome) {
         let deadline = self.clock.now() + call.patience;
-        let permit = match self.dispatch.admit(&call.work, call.terms, deadline).await {
-            Ok(permit) => permit,
+        let (permit, first) = match self.dispatch.admit(&call.work, call.terms, deadline).await {
+            Ok(admitted) => admitted,
             Err(refusal) => return not_run(refusal.code, refusal.retry_after),
         };
+        let mut first = Some(first);
         let mut tried = Vec::new();
         for number in 1..=MAX_ATTEMPTS {
             let attempt = AttemptId(number);
-            let lease = match self.dispatch.choose(&call.work, attempt, &tried).await {
-                Ok(lease) => lease,
-                Err(refusal) => return not_run(refusal.code(), RETRY_AFTER),
+            let lease = match first.take() {
+                Some(lease) => lease,
+                None => match self.dispatch.choose(&call.work, attempt, &tried).await {
+                    Ok(lease) => lease,
+                    Err(refusal) => return not_run(refusal.code(), RETRY_AFTER),
+                },
             };
             tried.push(lease.decision().upstream.clone());
             match self.attempt(call, gate, &lease, attempt, deadline).await {
--- a/marigoldlock/src/dispatch/actor.rs
+++ b/marigoldlock/src/dispatch/actor.rs
@@ -16,7 +16,7 @@
 use marigoldlock_wire::platform::{InstanceList, ListEntry, ListKind, ListState};
 use marigoldlock_wire::prelude::*;
 
-use super::admit::AdmitReply;
+use super::admit::WaitingRequest;
 use super::work::WorkItem;
 use crate::clock::TimeSource;
 use crate::logging::DECISION_TARGET;
@@ -46,7 +46,7 @@
 pub struct DispatchActor {
     pub(super) table: RouteTable,
     pub(super) admission: AdmissionControl,
-    pub(super) waiting: FastMap<RequestId, AdmitReply>,
+    pub(super) waiting: FastMap<RequestId, WaitingRequest>,
     pub(super) clock: Arc<dyn TimeSource>,
     data_centre: DataCentre,
     tickets: FastMap<AttemptKey, AttemptTicket>,
@@ -84,14 +84,36 @@
     pub exclude: Vec<UpstreamId>,
 }
 
+impl Choose {
+    /// Asks for a request's first attempt.
+    pub(super) fn first(work: &Arc<WorkItem>) -> Self {
+        let key = AttemptKey {
+            request: work.request,
+            attempt: AttemptId::FIRST,
+        };
+        Self {
+            key,
+            work: Arc::clone(work),
+            exclude: Vec::new(),
+        }
+    }
+}
+
 impl Message<Choose> for DispatchActor {
     type Reply = Result<RouteDecision, RouteRefusal>;
 
     async fn handle(&mut self, choose: Choose, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.route(&choose)
+    }
+}
+
+impl DispatchActor {
+    /// Chooses an upstream and notes the attempt as sent there.
+    pub(super) fn route(&mut self, choose: &Choose) -> Result<RouteDecision, RouteRefusal> {
         let now = self.clock.now();
         let ask = choose.work.route_ask(&choose.exclude, &self.data_centre);
         let result = self.table.choose(&ask, now);
-        log_decision(&choose, &result);
+        log_decision(choose, &result);
         let decision = result?;
         let ticket = self.table.on_sent(&decision, &ask, now);
         self.tickets.insert(choose.key, ticket);
--- a/marigoldlock/src/dispatch/admit.rs
+++ b/marigoldlock/src/dispatch/admit.rs
@@ -9,12 +9,12 @@
 use marigoldlock_core::admission::{
     AdmissionAsk, AdmissionEvent, AdmissionVerdict, CustomerLimits, FinishedWork,
 };
-use marigoldlock_core::routing::{RouteParams, UpstreamState};
+use marigoldlock_core::routing::{RouteDecision, RouteParams, UpstreamState};
 use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::prelude::*;
 use thiserror::Error;
 
-use super::actor::DispatchActor;
+use super::actor::{Choose, DispatchActor};
 use super::lease::DispatchHandle;
 use super::work::WorkItem;
 use crate::logging::DECISION_TARGET;
@@ -35,10 +35,13 @@
     pub retry_after: Duration,
 }
 
-type AdmitResult = Result<(), AdmissionRefusal>;
+type AdmitResult = Result<RouteDecision, AdmissionRefusal>;
 
-/// Where the answer to a waiting request goes.
-pub(super) type AdmitReply = ReplySender<AdmitResult>;
+/// A request that waits for its turn.
+pub(super) struct WaitingRequest {
+    work: Arc<WorkItem>,
+    reply: ReplySender<AdmitResult>,
+}
 
 /// Share and limits of a customer, from the settings.
 #[derive(Clone, Copy, Debug)]
@@ -66,14 +69,18 @@
         let verdict = self.offer(&admit);
         log_admission(&admit, verdict);
         let reply = match verdict {
-            AdmissionVerdict::Start => ctx.reply(Ok(())),
+            AdmissionVerdict::Start => ctx.reply(self.first_route(&admit.work)),
             AdmissionVerdict::Refused { code, retry_after } => {
                 ctx.reply(Err(AdmissionRefusal { code, retry_after }))
             }
             AdmissionVerdict::Queued => {
                 let (reply, sender) = ctx.reply_sender();
                 if let Some(sender) = sender {
-                    self.waiting.insert(admit.work.request, sender);
+                    let waiting = WaitingRequest {
+                        work: Arc::clone(&admit.work),
+                        reply: sender,
+                    };
+                    self.waiting.insert(admit.work.request, waiting);
                 }
                 reply
             }
@@ -122,21 +129,38 @@
     }
 
     fn deliver(&mut self, event: AdmissionEvent) {
-        let (request, result) = match event {
-            AdmissionEvent::Start { request } => (request, Ok(())),
+        let (request, refusal) = match event {
+            AdmissionEvent::Start { request } => (request, None),
             AdmissionEvent::Refuse {
                 request,
                 code,
                 retry_after,
-            } => (request, Err(AdmissionRefusal { code, retry_after })),
+            } => (request, Some(AdmissionRefusal { code, retry_after })),
         };
-        info!(target: DECISION_TARGET, request:%, admitted = result.is_ok(); "wait ended");
-        match self.waiting.remove(&request) {
-            Some(sender) => sender.send(result),
-            None => self.admission.on_finished(request, None, self.clock.now()),
+        info!(target: DECISION_TARGET, request:%, admitted = refusal.is_none(); "wait ended");
+        match (self.waiting.remove(&request), refusal) {
+            (Some(waiting), None) => {
+                let result = self.first_route(&waiting.work);
+                waiting.reply.send(result);
+            }
+            (Some(waiting), Some(refusal)) => waiting.reply.send(Err(refusal)),
+            // Its caller has left.
+            (None, _) => self.admission.on_finished(request, None, self.clock.now()),
         }
     }
 
+    /// Chooses the upstream of an admitted request's first attempt.
+    fn first_route(&mut self, work: &Arc<WorkItem>) -> AdmitResult {
+        let route = self.route(&Choose::first(work));
+        route.map_err(|refusal| {
+            self.admission.on_finished(work.request, None, self.clock.now());
+            AdmissionRefusal {
+                code: refusal.code(),
+                retry_after: NO_UPSTREAM_RETRY,
+            }
+        })
+    }
+
     /// Tells admission how much each service can run.
     pub(super) fn update_capacity(&mut self) {
         let params = RouteParams::default();
--- a/marigoldlock/src/dispatch/lease.rs
+++ b/marigoldlock/src/dispatch/lease.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Waits until the request may run.
+    /// Waits until the request may run and chooses the upstream of its first attempt.
     ///
     /// # Errors
     ///
@@ -71,18 +71,27 @@
         work: &Arc<WorkItem>,
         terms: CustomerTerms,
         deadline: MonoTime,
-    ) -> Result<AdmitPermit, AdmissionRefusal> {
+    ) -> Result<(AdmitPermit, AttemptLease), AdmissionRefusal> {
         let permit = AdmitPermit::new(self.clone(), work.request);
-        match self
-            .actor
-            .ask(Admit {
-                work: Arc::clone(work),
-                terms,
-                deadline,
-            })
-            .await
-        {
-            Ok(()) => Ok(permit),
+        let key = AttemptKey {
+            request: work.request,
+            attempt: AttemptId::FIRST,
+        };
+        let admit = Admit {
+            work: Arc::clone(work),
+            terms,
+            deadline,
+        };
+        match self.actor.ask(admit).await {
+            Ok(decision) => Ok((
+                permit,
+                AttemptLease {
+                    dispatch: self.clone(),
+                    key,
+                    decision,
+                    open: true,
+                },
+            )),
             Err(SendError::HandlerError(refusal)) => Err(refusal),
             // The actor only ends with the instance.
             Err(_) => Err(AdmissionRefusal {
--- a/marigoldlock/src/front/plain.rs
+++ b/marigoldlock/src/front/plain.rs
@@ -26,7 +26,7 @@
 use super::reject::{Rejection, set_request_id};
 use super::target::RequestTarget;
 use crate::calls::{CallRequest, http_headers};
-use crate::dispatch::{AttemptLease, WorkItem};
+use crate::dispatch::{AdmitPermit, AttemptLease, WorkItem};
 use crate::logging::DECISION_TARGET;
 use crate::upstream::UpstreamCall;
 
@@ -204,18 +204,20 @@
 async fn repeatable(context: &Arc<FrontContext>, call: &CallRequest) -> Result<Response, Rejection> {
     let deadline = context.now() + call.patience;
     let admitted = context.dispatch.admit(&call.work, call.terms, deadline).await;
-    let permit = admitted.map_err(|refusal| Rejection::new(refusal.code).retry_after(refusal.retry_after))?;
+    let (permit, first) =
+        admitted.map_err(|refusal| Rejection::new(refusal.code).retry_after(refusal.retry_after))?;
+    let mut first = Some(first);
     let mut tried = Vec::new();
     let mut may_have_run = false;
     let mut last = ResultCode::NoUpstream;
     for number in 1..=MAX_ATTEMPTS {
         let attempt = AttemptId(number);
-        let lease = match context.dispatch.choose(&call.work, attempt, &tried).await {
-            Ok(lease) => lease,
-            Err(refusal) if tried.is_empty() => {
-                return Err(Rejection::new(refusal.code()).retry_after(RETRY_AFTER));
-            }
-            Err(_) => break,
+        let lease = match first.take() {
+            Some(lease) => lease,
+            None => match context.dispatch.choose(&call.work, attempt, &tried).await {
+                Ok(lease) => lease,
+                Err(_) => break,
+            },
         };
         tried.push(lease.decision().upstream.clone());
         let wait = deadline.since(context.now());
@@ -231,8 +233,7 @@
         let kind = match tokio::time::timeout(wait, sent).await {
             Ok(Ok(response)) => {
                 context.with_budget(|budget| budget.on_success());
-                permit.close(FinishedWork::default());
-                return Ok(pass_through(lease, response));
+                return Ok(pass_through(permit, lease, response));
             }
             Ok(Err(kind)) => kind,
             Err(_) => FailureKind::TimedOut,
@@ -266,21 +267,22 @@
 }
 
 /// Passes an answer on as it comes; a body that breaks breaks for the caller too.
-fn pass_through(lease: AttemptLease, response: reqwest::Response) -> Response {
+fn pass_through(permit: AdmitPermit, lease: AttemptLease, response: reqwest::Response) -> Response {
     lease.first_token();
     let status = response.status();
     let headers = end_to_end(response.headers());
     let body = response.bytes_stream();
-    let guarded = futures::stream::unfold(Some((body, lease)), |state| async {
-        let (mut body, lease) = state?;
+    let guarded = futures::stream::unfold(Some((body, permit, lease)), |state| async {
+        let (mut body, permit, lease) = state?;
         match body.next().await {
-            Some(Ok(chunk)) => Some((Ok(chunk), Some((body, lease)))),
+            Some(Ok(chunk)) => Some((Ok(chunk), Some((body, permit, lease)))),
             Some(Err(err)) => {
                 lease.close(AttemptOutcome::Broken);
                 Some((Err(err), None))
             }
             None => {
                 lease.close(AttemptOutcome::Answered);
+                permit.close(FinishedWork::default());
                 None
             }
         }
--- a/marigoldlock/src/front/session.rs
+++ b/marigoldlock/src/front/session.rs
@@ -54,6 +54,7 @@
     context: Arc<FrontContext>,
     work: ChatWork,
     permit: Option<AdmitPermit>,
+    first: Option<AttemptLease>,
     relay: StreamRelay,
     deadline: MonoTime,
     open: Option<OpenAttempt>,
@@ -70,7 +71,7 @@
         let deadline = context.now() + work.target.patience;
         let terms = work.target.terms();
         let admitted = context.dispatch.admit(&work.item, terms, deadline).await;
-        let permit =
+        let (permit, lease) =
             admitted.map_err(|refusal| Rejection::new(refusal.code).retry_after(refusal.retry_after))?;
         let limits = relay_limits(&work.target.service);
         let relay = StreamRelay::new(work.item.request, limits);
@@ -78,6 +79,7 @@
             context,
             work,
             permit: Some(permit),
+            first: Some(lease),
             relay,
             deadline,
             open: None,
@@ -123,7 +125,10 @@
     /// Starts the next attempt.
     async fn open_attempt(&mut self) -> Result<(), Failure> {
         let attempt = self.relay.begin_attempt(self.context.now());
-        let lease = self.choose(attempt.id).await?;
+        let lease = match self.first.take() {
+            Some(lease) => lease,
+            None => self.choose(attempt.id).await?,
+        };
         let id = attempt.id;
         let response = match self.send(&lease, attempt).await {
             Ok(response) => response,
--- a/marigoldlock_core/src/relay/step.rs
+++ b/marigoldlock_core/src/relay/step.rs
@@ -13,6 +13,11 @@
 #[derive(Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct AttemptId(pub u32);
 
+impl AttemptId {
+    /// A request's first attempt.
+    pub const FIRST: Self = Self(1);
+}
+
 /// How long each phase of an attempt may go without progress.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ProgressLimits {
