Accept jobs into the log and run them at any instance

Cause: long work must not vanish with the instance that took it. Change: POST /v1/jobs and GET /v1/jobs/{id}; a job actor that follows the jobs stream, claims, runs and appends results until the log has them; inputs under one id but another hash are void; LogPosition::index.

--- a/marigoldlock/src/calls/service.rs
+++ b/marigoldlock/src/calls/service.rs
@@ -105,7 +105,7 @@
         let mut status = self.plain.watch();
         loop {
             status.mark_unchanged();
-            let alive = self.alive().await;
+            let alive = self.members.heard().await;
             let begin = BeginPlain {
                 call: hash,
                 print,
@@ -132,13 +132,6 @@
         answer
     }
 
-    /// Incarnations that are heard, this one among them.
-    async fn alive(&self) -> FastSet<Incarnation> {
-        let members = self.members.list().await;
-        let heard = members.iter().filter(|member| member.is_heard);
-        heard.filter_map(|member| member.incarnation).collect()
-    }
-
     async fn log_down(&self) -> CallAnswer {
         let status = self.plain.status();
         let code = match status.fresh {
--- a/marigoldlock/src/front/chat.rs
+++ b/marigoldlock/src/front/chat.rs
@@ -7,7 +7,7 @@
 use axum::http::{HeaderMap, HeaderValue, header};
 use axum::response::Response;
 use bytes::Bytes;
-use marigoldlock_core::settings::{ActiveSettings, ServiceKind, ServiceSettings};
+use marigoldlock_core::settings::{ActiveSettings, CustomerSettings, ServiceKind, ServiceSettings};
 use marigoldlock_wire::engine::{ChatRequest, prefix_hashes, prompt_tokens};
 use marigoldlock_wire::prelude::*;
 use serde::Deserialize;
@@ -25,7 +25,7 @@
 use crate::dispatch::WorkItem;
 
 /// Largest chat body before the model, and so the service's own limit, is known, in bytes.
-const CHAT_BODY_BYTES: usize = 16 << 20;
+pub(super) const CHAT_BODY_BYTES: usize = 16 << 20;
 
 /// Chat request, checked.
 pub(super) struct ChatWork {
@@ -41,6 +41,25 @@
     pub item: Arc<WorkItem>,
 }
 
+impl ChatWork {
+    /// The same chat with its answer in one piece.
+    ///
+    /// # Errors
+    ///
+    /// Rejects a body that is not a JSON object.
+    pub(super) fn unstreamed(self) -> Result<Self, Rejection> {
+        if !self.stream {
+            return Ok(self);
+        }
+        let body = with_field(&self.body, "stream", json!(false))?;
+        Ok(Self {
+            body,
+            stream: false,
+            ..self
+        })
+    }
+}
+
 /// `POST /v1/chat/completions`.
 pub(super) async fn chat(State(context): State<Arc<FrontContext>>, request: Request) -> Response {
     let id = context.new_request();
@@ -140,19 +159,33 @@
     })
 }
 
-fn parse(
+pub(super) fn parse(
+    context: &FrontContext,
+    settings: &ActiveSettings,
+    id: RequestId,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<ChatWork, Rejection> {
+    parse_for(context, settings, id, headers, body, |service| {
+        authorize(settings, service, headers)
+    })
+}
+
+/// Checks a chat of the customer that `find_customer` names.
+pub(super) fn parse_for(
     context: &FrontContext,
     settings: &ActiveSettings,
     id: RequestId,
     headers: &HeaderMap,
     body: Bytes,
+    find_customer: impl FnOnce(&ServiceSettings) -> Result<Option<Arc<CustomerSettings>>, Rejection>,
 ) -> Result<ChatWork, Rejection> {
     let chat: ChatRequest = parse_json(&body)?;
     let service = settings
         .service_for_model(chat.model.as_str())
         .filter(|service| service.kind == ServiceKind::Chat)
         .ok_or_else(|| unknown_model(&chat.model))?;
-    let customer = authorize(settings, service, headers)?;
+    let customer = find_customer(service)?;
     check_fields(&chat, service, body.len())?;
     let target = RequestTarget::new(
         settings,
--- a/marigoldlock/src/front/context.rs
+++ b/marigoldlock/src/front/context.rs
@@ -14,6 +14,7 @@
 use crate::calls::CallService;
 use crate::clock::TimeSource;
 use crate::dispatch::DispatchHandle;
+use crate::jobs::JobHandle;
 use crate::members::MemberHandle;
 use crate::settings::SettingsHandle;
 use crate::upstream::UpstreamClient;
@@ -51,6 +52,8 @@
     pub upstreams: UpstreamClient,
     /// Calls that may not be repeated.
     pub calls: CallService,
+    /// Long work.
+    pub jobs: JobHandle,
     /// Usage of customers.
     pub usage: UsageMeter,
     /// Bounds on requests.
@@ -81,6 +84,8 @@
     pub upstreams: UpstreamClient,
     /// Calls that may not be repeated.
     pub calls: CallService,
+    /// Long work.
+    pub jobs: JobHandle,
     /// Usage of customers.
     pub usage: UsageMeter,
     /// Bounds on requests.
@@ -104,6 +109,7 @@
             members: parts.members,
             upstreams: parts.upstreams,
             calls: parts.calls,
+            jobs: parts.jobs,
             usage: parts.usage,
             limits: parts.limits,
             budget: Mutex::new(RetryBudget::new(Default::default(), now)),
--- a/marigoldlock/src/front/router.rs
+++ b/marigoldlock/src/front/router.rs
@@ -11,7 +11,7 @@
 
 use super::context::FrontContext;
 use super::reject::{Rejection, set_request_id};
-use super::{addresses, chat, plain, probes};
+use super::{addresses, chat, jobs, plain, probes};
 
 /// All routes of an instance.
 pub fn front_router(context: Arc<FrontContext>) -> Router {
@@ -20,6 +20,8 @@
         .route("/services/{service}", any(plain::plain))
         .route("/services/{service}/", any(plain::plain))
         .route("/services/{service}/{*path}", any(plain::plain))
+        .route("/v1/jobs", post(jobs::submit))
+        .route("/v1/jobs/{id}", get(jobs::show))
         .route("/v1/addresses", get(addresses::addresses))
         .route("/healthz", get(probes::health))
         .route("/readyz", get(probes::ready))
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -17,7 +17,7 @@
 use marigoldlock_wire::peer::{PeerRequest, PeerResponse};
 use marigoldlock_wire::platform::InstanceList;
 use marigoldlock_wire::prelude::*;
-use marigoldlock_wire::record::CALLS_STREAM;
+use marigoldlock_wire::record::{CALLS_STREAM, JOBS_STREAM};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
@@ -28,8 +28,10 @@
 use crate::clock::{BootClock, TimeSource};
 use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
 use crate::front::{
-    ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router, serve_forwarded,
+    ChatJobs, ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router,
+    serve_forwarded,
 };
+use crate::jobs::{JobHandle, JobsSink};
 use crate::log_stream::{FollowLimits, RecordWriter, StreamFollower, WriterLimits};
 use crate::members::{
     HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, poll_list, poll_upstreams,
@@ -260,6 +262,7 @@
         });
         let home = HomeHandle::start(own.incarnation, Arc::clone(&clock));
         let (plain, call_tasks) = start_plain(own, &log, &clock);
+        let (jobs, job_tasks) = start_jobs(own, &log, &clock);
         let peers = PeerPool::default();
         let upstreams = UpstreamClient::default();
         let leaving = Arc::new(AtomicBool::new(false));
@@ -291,6 +294,7 @@
         });
         let mut tasks = Vec::from(follow_settings(own, log, &exchange));
         tasks.extend(call_tasks);
+        tasks.extend(job_tasks);
         let context = FrontContext::new(FrontParts {
             name: own.instance.clone(),
             incarnation: own.incarnation,
@@ -302,14 +306,17 @@
             members: members.clone(),
             upstreams,
             calls,
+            jobs,
             usage: UsageMeter::default(),
             limits: FrontLimits {
                 send_silence: options.send_timeout(),
             },
             leaving,
         });
+        let context = Arc::new(context);
+        tasks.push(run_jobs(&context, members.clone(), options.heartbeat()));
         Self {
-            context: Arc::new(context),
+            context,
             exchange,
             dispatch,
             members,
@@ -342,6 +349,38 @@
     (plain, [spawn(write), spawn(follow)])
 }
 
+/// Starts what knows the jobs, and the tasks that write and follow their stream.
+fn start_jobs(
+    own: &OwnAddresses,
+    log: &Arc<dyn LogClient>,
+    clock: &Arc<dyn TimeSource>,
+) -> (JobHandle, [AbortHandle; 2]) {
+    let (writer, write) = RecordWriter::new(
+        Arc::clone(log),
+        JOBS_STREAM,
+        own.instance.clone(),
+        own.incarnation,
+        WriterLimits::default(),
+    );
+    let jobs = JobHandle::start(own.incarnation, Arc::clone(clock), Arc::clone(log), writer);
+    let follower = StreamFollower::new(
+        Arc::clone(log),
+        Arc::clone(clock),
+        JOBS_STREAM,
+        FollowLimits::default(),
+    );
+    let follow = follower.run(JobsSink::new(jobs.clone()));
+    (jobs, [spawn(write), spawn(follow)])
+}
+
+/// Claims and runs jobs.
+fn run_jobs(context: &Arc<FrontContext>, members: MemberHandle, interval: Duration) -> AbortHandle {
+    let work = Arc::new(ChatJobs(Arc::clone(context)));
+    let jobs = context.jobs.clone();
+    let leaving = Arc::clone(context);
+    spawn(jobs.run(work, members, interval, move || leaving.is_leaving()))
+}
+
 fn start_settings() -> (SettingsHandle, ActorRef<SettingsActor>) {
     let (sender, receiver) = watch::channel(SettingsState::default());
     let actor = SettingsActor::spawn_with_mailbox(sender, kameo::mailbox::unbounded());
--- a/marigoldlock/src/members/handle.rs
+++ b/marigoldlock/src/members/handle.rs
@@ -41,6 +41,13 @@
         self.actor.ask(FindHome(home)).await.ok().flatten()
     }
 
+    /// Incarnations that are heard, without this one.
+    pub async fn heard(&self) -> FastSet<Incarnation> {
+        let members = self.list().await;
+        let heard = members.iter().filter(|member| member.is_heard);
+        heard.filter_map(|member| member.incarnation).collect()
+    }
+
     /// What a plain key that is not known may be told while the log is down.
     pub async fn log_down_code(&self, position: LogPosition, fresh: MonoTime) -> ResultCode {
         let code = self.actor.ask(AskLogDown { position, fresh }).await;
--- a/marigoldlock/tests/support/mod.rs
+++ b/marigoldlock/tests/support/mod.rs
@@ -84,6 +84,10 @@
         &self.key
     }
 
+    pub fn model(&self) -> &str {
+        &self.model
+    }
+
     pub fn url(&self, instance: usize, path: &str) -> String {
         format!("http://{}{path}", self.addresses[instance])
     }
--- a/marigoldlock_core/src/jobs/estimate.rs
+++ b/marigoldlock_core/src/jobs/estimate.rs
@@ -12,6 +12,20 @@
     pub tokens_per_s: f64,
 }
 
+impl WorkRate {
+    /// Tokens of the jobs that ended within the last `window_ms`, per second.
+    pub fn measured(fold: &JobFold, now_ms: u64, window_ms: u64) -> Self {
+        let recent = fold.iter().filter(|(_, entry)| match entry.state {
+            JobState::Finished { finished_ms, .. } => now_ms.saturating_sub(finished_ms) <= window_ms,
+            _ => false,
+        });
+        let tokens: u64 = recent.map(|(_, entry)| entry.head.tokens).sum();
+        Self {
+            tokens_per_s: tokens as f64 / (window_ms as f64 / 1_000.0),
+        }
+    }
+}
+
 /// Whether a job can meet its deadline.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/marigoldlock_core/src/jobs/fold.rs
+++ b/marigoldlock_core/src/jobs/fold.rs
@@ -162,6 +162,9 @@
             result: PartPlaces::default(),
             partial: FastMap::default(),
         });
+        if entry.head.print != input.head.print {
+            return None;
+        }
         entry.input.set(input.part, position, input.written_ms);
         if entry.state == JobState::Partial && entry.input.whole().is_some() {
             entry.state = JobState::Accepted;
--- a/marigoldlock_core/src/jobs/tests.rs
+++ b/marigoldlock_core/src/jobs/tests.rs
@@ -17,6 +17,7 @@
         accepted_ms: 1_000,
         deadline_ms,
         tokens: 500,
+        print: 1,
     }
 }
 
@@ -76,6 +77,21 @@
     assert_eq!(input_records(JOB, &head(0), &huge), None);
 }
 
+#[test]
+fn another_input_under_the_same_id_is_void() {
+    let mut log = Log::default();
+    accepted(&mut log, JOB, 9_000);
+    let other = JobHead {
+        print: 2,
+        ..head(9_000)
+    };
+    log.append_all(9, input_records(JOB, &other, &Bytes::from_static(b"[]")).unwrap());
+    let mut board = board(1);
+    log.read_into(&mut board, 0);
+    let entry = board.fold().get(JOB).unwrap();
+    assert_eq!(entry.input.whole().unwrap(), [LogPosition::new(0, 0)]);
+}
+
 #[test]
 fn of_two_claims_the_first_in_log_order_holds_the_job() {
     let mut log = Log::default();
--- a/marigoldlock_wire/src/ids.rs
+++ b/marigoldlock_wire/src/ids.rs
@@ -143,6 +143,11 @@
         Self((offset << POSITION_INDEX_BITS) | index as u64)
     }
 
+    /// Index of the record inside its append.
+    pub fn index(self) -> usize {
+        (self.0 & (RECORDS_PER_APPEND as u64 - 1)) as usize
+    }
+
     /// Offset of the append that holds the record.
     pub fn offset(self) -> u64 {
         self.0 >> POSITION_INDEX_BITS
--- a/marigoldlock_wire/src/record/jobs.rs
+++ b/marigoldlock_wire/src/record/jobs.rs
@@ -55,6 +55,8 @@
     pub deadline_ms: u64,
     /// Estimated work, in tokens.
     pub tokens: u64,
+    /// Hash of the input; parts of another input under the same id are void.
+    pub print: u128,
 }
 
 /// Part of a job's input.
