--- a/marigoldlock_core/src/authority/fault.rs
+++ b/marigoldlock_core/src/authority/fault.rs
@@ -17,6 +17,8 @@
     EarlyLookUp,
     /// A successor sends without knowing that its predecessor has stopped.
     IgnoreSender,
+    /// A successor sends at once when its predecessor has stopped, whose last write may still arrive.
+    AdoptEarly,
     /// An order counts as settled while an unanswered copy may still arrive.
     SettleEarly,
     /// A window is reported before its figure is frozen.
--- a/marigoldlock_core/src/authority/holder.rs
+++ b/marigoldlock_core/src/authority/holder.rs
@@ -198,8 +198,9 @@
                 self.misplaced.remove(&duty);
                 continue;
             }
-            let since = *self.misplaced.entry(duty.clone()).or_insert(now);
-            if now.since(since) >= self.timing.rebalance_after {
+            let hand_over_at = now + self.timing.rebalance_after;
+            let hand_over_at = *self.misplaced.entry(duty.clone()).or_insert(hand_over_at);
+            if now >= hand_over_at {
                 let quiet = now + self.timing.order_lifetime;
                 self.releasing.entry(duty).or_insert(quiet);
             }
--- a/marigoldlock_core/src/authority/process.rs
+++ b/marigoldlock_core/src/authority/process.rs
@@ -116,7 +116,7 @@
         let changes = self.fold.apply(offset, envelope);
         self.holder.observe(self.fold.authority(), envelope.id, now);
         self.orders.observe(self.fold.orders(), now);
-        self.usage.observe(self.fold.usage());
+        self.usage.observe(self.fold.usage(), now);
         changes
     }
 
@@ -125,7 +125,7 @@
         self.holder
             .observe(self.fold.authority(), RecordId::default(), now);
         self.orders.observe(self.fold.orders(), now);
-        self.usage.observe(self.fold.usage());
+        self.usage.observe(self.fold.usage(), now);
     }
 
     /// Records to append now in one append; asked only while none is on the way.
--- a/marigoldlock_core/src/orders/desk.rs
+++ b/marigoldlock_core/src/orders/desk.rs
@@ -126,7 +126,7 @@
     quiet_at: MonoTime,
     retry_at: MonoTime,
     outcome: Option<OrderOutcome>,
-    seen_at: MonoTime,
+    replace_at: MonoTime,
     is_sender: bool,
     is_replaced: bool,
 }
@@ -194,12 +194,14 @@
             attempt: if is_issuer {
                 Attempt::Absent
             } else {
-                Attempt::Lost { quiet_at: now }
+                Attempt::Lost {
+                    quiet_at: MonoTime::ZERO,
+                }
             },
-            quiet_at: now,
-            retry_at: now,
+            quiet_at: MonoTime::ZERO,
+            retry_at: MonoTime::ZERO,
             outcome: None,
-            seen_at: now,
+            replace_at: now + self.timing.replace_after,
             is_sender: is_issuer,
             is_replaced: false,
         }
@@ -213,9 +215,11 @@
                 continue;
             };
             let is_sender = order.sender.as_ref() == Some(&self.me);
-            if is_sender && !progress.is_sender {
+            let is_adopted = is_sender && !progress.is_sender && !order.body.is_fenced();
+            if is_adopted && self.fault != Some(Fault::AdoptEarly) {
                 progress.attempt = Attempt::Lost { quiet_at };
                 progress.quiet_at = quiet_at;
+                progress.retry_at = quiet_at;
             }
             progress.is_sender = is_sender;
         }
@@ -326,9 +330,8 @@
         let OrderBody::Engine { upstream, .. } = &order.body else {
             return None;
         };
-        let replace_after = self.timing.replace_after;
         let progress = self.progress.get_mut(&intent)?;
-        if progress.is_replaced || now.since(progress.seen_at) < replace_after {
+        if progress.is_replaced || now < progress.replace_at {
             return None;
         }
         progress.is_replaced = true;
@@ -344,13 +347,13 @@
             || self.fault == Some(Fault::IgnoreSender)
     }
 
-    /// The last moment had passed and nothing was written.
-    pub fn not_sent(&mut self, intent: LogPosition) {
+    /// Nothing was written: the last moment had passed or no connection came about.
+    pub fn not_sent(&mut self, intent: LogPosition, now: MonoTime) {
+        let retry_at = now + self.timing.retry_after;
         if let Some(progress) = self.progress.get_mut(&intent) {
             // An earlier write may still be unanswered, so a conclusive look-up is due again.
-            progress.attempt = Attempt::Lost {
-                quiet_at: progress.quiet_at,
-            };
+            progress.attempt = Attempt::Lost { quiet_at: progress.quiet_at };
+            progress.retry_at = retry_at;
         }
     }
 
--- a/marigoldlock_core/src/usage/desk.rs
+++ b/marigoldlock_core/src/usage/desk.rs
@@ -1,6 +1,6 @@
 //! What one process freezes and reports.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use marigoldlock_wire::platform::UsageFigure;
@@ -59,6 +59,8 @@
     timing: UsageTiming,
     counts: UsageCounts,
     progress: BTreeMap<(CustomerId, u64), ReportProgress>,
+    /// Windows that another process may be reporting.
+    others: BTreeSet<(CustomerId, u64)>,
     fault: Option<Fault>,
 }
 
@@ -71,6 +73,7 @@
             timing,
             counts,
             progress: BTreeMap::new(),
+            others: BTreeSet::new(),
             fault: None,
         }
     }
@@ -91,12 +94,33 @@
     }
 
     /// Takes note of the ledger after an append was folded.
-    pub fn observe(&mut self, ledger: &UsageLedger) {
+    pub fn observe(&mut self, ledger: &UsageLedger, now: MonoTime) {
+        self.follow_senders(ledger, now);
         self.progress
             .retain(|(customer, window), _| ledger.frozen(customer, *window).is_some());
         self.counts.prune(ledger);
     }
 
+    /// Counts the lifetime of a predecessor's last write from the moment when it is known to have stopped.
+    fn follow_senders(&mut self, ledger: &UsageLedger, now: MonoTime) {
+        let quiet_at = now + self.timing.order_lifetime;
+        for (key, frozen) in ledger.unreported() {
+            if frozen.sender.as_ref() != Some(&self.me) {
+                self.others.insert(key.clone());
+                continue;
+            }
+            if self.others.remove(key) && self.fault != Some(Fault::AdoptEarly) {
+                let lost = ReportProgress::Lost {
+                    retry_at: quiet_at,
+                    quiet_at,
+                };
+                self.progress.insert(key.clone(), lost);
+            }
+        }
+        self.others
+            .retain(|(customer, window)| ledger.frozen(customer, *window).is_some());
+    }
+
     /// Records to append now; windows before `open` are over.
     pub fn due_records(
         &self,
