Show the fleet's status and explain a request

Cause: an operator could not see how the fleet stands or why a request went where it went. Conclusion: to be tried on a running fleet.

--- a/marigoldctl/src/config.rs
+++ b/marigoldctl/src/config.rs
@@ -43,7 +43,7 @@
     #[arg(long, short, conflicts_with_all = ["value", "remove"])]
     file: Option<String>,
     /// New scalar as TOML, such as 20, true or '"fenced"'.
-    #[arg(long, conflicts_with = "remove")]
+    #[arg(long, conflicts_with = "remove", allow_hyphen_values = true)]
     value: Option<String>,
     /// Remove what is at the path.
     #[arg(long)]
--- a/marigoldctl/src/load/attempts.rs
+++ b/marigoldctl/src/load/attempts.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use marigoldlock_core::prelude::*;
-use marigoldlock_core::routing::{AttemptOutcome, RouteAsk, RouteDecision, RouteParams, WorkClass};
+use marigoldlock_core::routing::{
+    AttemptOutcome, RouteAsk, RouteDecision, RouteParams, WorkClass, engine_priority,
+};
 use marigoldlock_wire::platform::CapacityKind;
 
 use super::engine::{EngineOutput, EngineWork};
+use super::experiment::PriorityKind;
 use super::fleet::MODEL;
 use super::flight::{AttemptKind, AttemptState, RequestPhase};
 use super::replay::{ReplayEvent, ReplayRun};
@@ -153,10 +156,10 @@
             AttemptKind::Full => asked.output_tokens - done,
             AttemptKind::Prefill(_) => 0,
         };
-        let priority = if self.policy.priorities {
-            asked.class.index()
-        } else {
-            0
+        let priority = match self.policy.priorities {
+            PriorityKind::None => 0,
+            PriorityKind::Class => asked.class.index(),
+            PriorityKind::Prompt => usize::from(engine_priority(asked.class, asked.prompt_tokens)),
         };
         let stalled = self.is_stalled(request);
         let work = EngineWork {
--- a/marigoldctl/src/load/experiment.rs
+++ b/marigoldctl/src/load/experiment.rs
@@ -272,6 +272,19 @@
     Fixed,
 }
 
+/// Which priority engines are told.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum PriorityKind {
+    /// The same for all.
+    #[default]
+    None,
+    /// The class.
+    Class,
+    /// The class, and short standard prompts first.
+    Prompt,
+}
+
 /// A policy to compare.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -284,9 +297,9 @@
     pub admission: AdmissionKind,
     /// Placement.
     pub placement: PlacementKind,
-    /// True if engines are told the class as priority.
+    /// Priority that engines are told.
     #[serde(default)]
-    pub priorities: bool,
+    pub priorities: PriorityKind,
     /// Roles that the first upstreams of a placed service start with; the others are mixed.
     #[serde(default)]
     pub roles: Vec<EngineRole>,
--- a/marigoldctl/src/main.rs
+++ b/marigoldctl/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use eyre::Result;
-use marigoldctl::{config, customers, dev, keys, load, standin};
+use marigoldctl::{config, customers, dev, explain, keys, load, standin, status};
 
 /// Operators' tool of marigoldlock.
 #[derive(Debug, Parser)]
@@ -20,6 +20,10 @@
     Keys(keys::KeysArgs),
     /// Create, list and remove customers.
     Customers(customers::CustomersArgs),
+    /// Show how the fleet stands and what to do.
+    Status(status::StatusArgs),
+    /// Tell why a request went where it went, from log lines.
+    Explain(explain::ExplainArgs),
     /// Replay workloads and measure.
     Load(load::LoadArgs),
     /// Run a whole fleet in this process, on stand-ins.
@@ -37,6 +41,8 @@
             Command::Config(args) => config::run(args).await,
             Command::Keys(args) => keys::run(args).await,
             Command::Customers(args) => customers::run(args).await,
+            Command::Status(args) => status::run(args).await,
+            Command::Explain(args) => explain::run(&args),
             Command::Load(args) => args.run(),
             Command::Dev(args) => dev::run(args).await,
             Command::Standin(args) => standin::run(args).await,
--- /dev/null
+++ b/marigoldctl/src/status.rs
@@ -0,0 +1,97 @@
+//! `marigoldctl status`: one screen that tells if all is well and, if not, what to do.
+
+mod findings;
+mod screen;
+
+use std::time::Duration;
+
+use clap::Args;
+use eyre::{Result, WrapErr, bail};
+use futures::future::join_all;
+use marigoldlock::admin::InstanceStatus;
+use serde::Serialize;
+
+pub use findings::{Finding, findings};
+
+/// Longest wait for an instance.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Show how the fleet stands and what to do.
+#[derive(Args, Clone, Debug)]
+pub struct StatusArgs {
+    /// URL of any instance; the others are found through it.
+    #[arg(long, env = "MARIGOLDLOCK_INSTANCE")]
+    instance: String,
+    /// Operator's token.
+    #[arg(long, env = "MARIGOLDLOCK_TOKEN", hide_env_values = true)]
+    token: String,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// The fleet as its instances see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct FleetStatus {
+    /// What an operator should look at; empty if all is well.
+    pub findings: Vec<Finding>,
+    /// The instances that answered.
+    pub instances: Vec<InstanceStatus>,
+    /// Addresses that did not answer.
+    pub unreachable: Vec<String>,
+}
+
+/// Asks every instance and prints the result.
+///
+/// # Errors
+///
+/// Fails if the instance named does not answer or refuses the token.
+pub async fn run(args: StatusArgs) -> Result<()> {
+    let http = reqwest::Client::builder()
+        .no_proxy()
+        .timeout(ANSWER_TIMEOUT)
+        .build()?;
+    let first = read_status(&http, &args.instance, &args.token).await?;
+    let members = first.members.iter().filter(|member| member.state != "gone");
+    let addresses: Vec<String> = members
+        .map(|member| format!("http://{}", member.address))
+        .collect();
+    let answers = join_all(addresses.iter().map(|url| read_status(&http, url, &args.token))).await;
+    let mut fleet = FleetStatus {
+        findings: Vec::new(),
+        instances: vec![first],
+        unreachable: Vec::new(),
+    };
+    for (url, answer) in addresses.into_iter().zip(answers) {
+        match answer {
+            Ok(status) => fleet.instances.push(status),
+            Err(_) => fleet.unreachable.push(url),
+        }
+    }
+    fleet.instances.sort_by(|a, b| a.instance.cmp(&b.instance));
+    fleet.findings = findings(&fleet);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&fleet)?);
+    } else {
+        print!("{}", screen::render(&fleet));
+    }
+    Ok(())
+}
+
+async fn read_status(http: &reqwest::Client, url: &str, token: &str) -> Result<InstanceStatus> {
+    let url = format!("{}/admin/v1/status", url.trim_end_matches('/'));
+    let response = http
+        .get(&url)
+        .bearer_auth(token)
+        .send()
+        .await
+        .wrap_err_with(|| url.clone())?;
+    if !response.status().is_success() {
+        bail!(
+            "{url} answered {}: {}",
+            response.status(),
+            response.text().await.unwrap_or_default()
+        );
+    }
+    Ok(response.json().await?)
+}
--- a/marigoldlock/src/dispatch/lease.rs
+++ b/marigoldlock/src/dispatch/lease.rs
@@ -13,7 +13,7 @@
 
 use super::actor::{AttemptKey, Choose, DispatchActor, FinishAttempt, NoteFirstToken, NoteProgress};
 use super::admit::{AdmissionRefusal, Admit, AdmitPermit, CustomerTerms};
-use super::peers::{ListUpstreams, UpstreamStatus};
+use super::status::{ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
 use super::work::WorkItem;
 
 /// Way to the dispatch actor.
@@ -120,6 +120,15 @@
             .unwrap_or_default()
     }
 
+    /// Requests running and waiting, by service.
+    pub async fn queues(&self) -> Vec<QueueStatus> {
+        self.actor
+            .ask(ListQueues)
+            .await
+            .map(|list| list.0)
+            .unwrap_or_default()
+    }
+
     /// The actor itself.
     pub fn actor(&self) -> &ActorRef<DispatchActor> {
         &self.actor
--- a/marigoldlock/src/dispatch/mod.rs
+++ b/marigoldlock/src/dispatch/mod.rs
@@ -9,10 +9,12 @@
 mod admit;
 mod lease;
 mod peers;
+mod status;
 mod work;
 
 pub use actor::{DispatchActor, DispatchSources, UpdateCache, UpdateList, UpdateLoad};
 pub use admit::{AdmissionRefusal, AdmitPermit, CustomerTerms, Tick};
 pub use lease::{AttemptLease, DispatchHandle};
-pub use peers::{ListUpstreams, LoadSummary, OwnLoad, RemovePeer, UpdatePeer, UpstreamStatus};
+pub use peers::{LoadSummary, OwnLoad, RemovePeer, UpdatePeer};
+pub use status::{ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
 pub use work::WorkItem;
--- a/marigoldlock/src/dispatch/peers.rs
+++ b/marigoldlock/src/dispatch/peers.rs
@@ -1,9 +1,7 @@
 //! What peers and this instance tell each other about work in flight.
 
 use kameo::message::{Context, Message};
-use marigoldlock_wire::engine::EngineRole;
 use marigoldlock_wire::peer::{CustomerCounter, UpstreamLoad};
-use marigoldlock_wire::platform::CapacityKind;
 use marigoldlock_wire::prelude::*;
 
 use super::actor::DispatchActor;
@@ -66,61 +64,3 @@
         }
     }
 }
-
-/// One upstream, for the status page.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct UpstreamStatus {
-    /// Name.
-    pub upstream: UpstreamId,
-    /// Service.
-    pub service: ServiceId,
-    /// Data centre.
-    pub data_centre: DataCentre,
-    /// Address.
-    pub address: String,
-    /// How it is paid for.
-    pub capacity: CapacityKind,
-    /// Role, for engines.
-    pub role: EngineRole,
-    /// True once it gets no new work for good.
-    pub leaving: bool,
-    /// True while a change takes it away.
-    pub changing: bool,
-    /// Requests of this instance in flight there.
-    pub in_flight: u32,
-    /// Age of its last load report, in milliseconds.
-    pub report_age_ms: Option<u64>,
-}
-
-/// Upstreams, by name.
-#[derive(Clone, Debug, Default, kameo::Reply)]
-pub struct UpstreamList(pub Vec<UpstreamStatus>);
-
-/// Asks for all upstreams.
-pub struct ListUpstreams;
-
-impl Message<ListUpstreams> for DispatchActor {
-    type Reply = UpstreamList;
-
-    async fn handle(&mut self, _: ListUpstreams, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let now = self.clock.now();
-        let mut upstreams: Vec<_> = self
-            .table
-            .states()
-            .map(|state| UpstreamStatus {
-                upstream: state.facts().id.clone(),
-                service: state.facts().service.clone(),
-                data_centre: state.facts().data_centre.clone(),
-                address: state.facts().address.clone(),
-                capacity: state.facts().capacity,
-                role: state.role(),
-                leaving: state.is_leaving(),
-                changing: state.is_changing(),
-                in_flight: state.own_requests(),
-                report_age_ms: state.report_age(now).map(|age| age.as_millis() as u64),
-            })
-            .collect();
-        upstreams.sort_by(|a, b| a.upstream.cmp(&b.upstream));
-        UpstreamList(upstreams)
-    }
-}
--- a/marigoldlock/src/front/context.rs
+++ b/marigoldlock/src/front/context.rs
@@ -10,6 +10,7 @@
 use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::prelude::*;
 
+use super::refusals::RefusalCounters;
 use super::reject::Rejection;
 use crate::calls::CallService;
 use crate::clock::TimeSource;
@@ -58,6 +59,8 @@
     pub usage: UsageMeter,
     /// Bounds on requests.
     pub limits: FrontLimits,
+    /// Refused and failed requests.
+    pub refusals: RefusalCounters,
     budget: Mutex<RetryBudget>,
     leaving: Arc<AtomicBool>,
 }
@@ -112,6 +115,7 @@
             jobs: parts.jobs,
             usage: parts.usage,
             limits: parts.limits,
+            refusals: RefusalCounters::default(),
             budget: Mutex::new(RetryBudget::new(Default::default(), now)),
             leaving: parts.leaving,
         }
--- /dev/null
+++ b/marigoldlock/src/front/refusals.rs
@@ -0,0 +1,67 @@
+//! Counting refused and failed requests by customer and code.
+
+use std::sync::{Mutex, PoisonError};
+
+use axum::http::HeaderMap;
+use axum::response::Response;
+use marigoldlock_core::settings::ActiveSettings;
+use marigoldlock_wire::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::auth::authenticate;
+use super::reject::CODE_HEADER;
+
+/// Customer that requests without a known key count for.
+const UNKNOWN_CUSTOMER: &str = "(unknown)";
+
+/// Refusals of one customer with one code.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RefusalCount {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Number of the code.
+    pub code: u16,
+    /// How often since the start of the instance.
+    pub count: u64,
+}
+
+/// Counters of an instance's refusals.
+#[derive(Debug, Default)]
+pub struct RefusalCounters {
+    counts: Mutex<FastMap<(CustomerId, u16), u64>>,
+}
+
+impl RefusalCounters {
+    /// Counts an answer that carries a result code.
+    pub(super) fn note(&self, settings: &ActiveSettings, headers: &HeaderMap, response: &Response) {
+        let code = response
+            .headers()
+            .get(CODE_HEADER)
+            .and_then(|code| code.to_str().ok());
+        let Some(code) = code.and_then(|code| code.parse::<u16>().ok()) else {
+            return;
+        };
+        metrics::counter!("marigoldlock_refusals_total", "code" => code.to_string()).increment(1);
+        let customer = match authenticate(settings, headers) {
+            Ok(customer) => customer.name.clone(),
+            Err(_) => UNKNOWN_CUSTOMER.into(),
+        };
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry((customer, code)).or_default() += 1;
+    }
+
+    /// All counters, the largest first.
+    pub fn list(&self) -> Vec<RefusalCount> {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut list: Vec<_> = counts
+            .iter()
+            .map(|((customer, code), count)| RefusalCount {
+                customer: customer.clone(),
+                code: *code,
+                count: *count,
+            })
+            .collect();
+        list.sort_by(|a, b| b.count.cmp(&a.count).then_with(|| a.customer.cmp(&b.customer)));
+        list
+    }
+}
--- a/marigoldlock/src/front/router.rs
+++ b/marigoldlock/src/front/router.rs
@@ -42,7 +42,11 @@
 
 /// Gives every answer a request id; one without is the HTTP library's own.
 async fn mark_answer(State(context): State<Arc<FrontContext>>, request: Request, next: Next) -> Response {
+    let headers = request.headers().clone();
     let mut response = next.run(request).await;
+    context
+        .refusals
+        .note(&context.settings.active(), &headers, &response);
     if !response
         .headers()
         .contains_key(marigoldlock_wire::engine::REQUEST_ID_HEADER)
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -218,6 +218,7 @@
         settings: parts.context.settings.clone(),
         settings_actor: parts.exchange.settings_actor.clone(),
         log,
+        front: Arc::clone(&parts.context),
         root_hash: options.admin_hash.as_deref().and_then(|hash| hash.parse().ok()),
     }
 }
--- a/marigoldlock/src/members/actor.rs
+++ b/marigoldlock/src/members/actor.rs
@@ -245,7 +245,7 @@
 }
 
 /// One member, for the status page.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct MemberStatus {
     /// Name.
     pub instance: InstanceId,
