--- a/marigoldctl/src/status.rs
+++ b/marigoldctl/src/status.rs
@@ -47,16 +47,31 @@
 ///
 /// Fails if the instance named does not answer or refuses the token.
 pub async fn run(args: StatusArgs) -> Result<()> {
+    let fleet = read_fleet(&args.instance, &args.token).await?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&fleet)?);
+    } else {
+        print!("{}", screen::render(&fleet));
+    }
+    Ok(())
+}
+
+/// Asks an instance, and every other that it knows, for its status.
+///
+/// # Errors
+///
+/// Fails if the instance named does not answer or refuses the token.
+pub async fn read_fleet(instance: &str, token: &str) -> Result<FleetStatus> {
     let http = reqwest::Client::builder()
         .no_proxy()
         .timeout(ANSWER_TIMEOUT)
         .build()?;
-    let first = read_status(&http, &args.instance, &args.token).await?;
+    let first = read_status(&http, instance, token).await?;
     let members = first.members.iter().filter(|member| member.state != "gone");
     let addresses: Vec<String> = members
         .map(|member| format!("http://{}", member.address))
         .collect();
-    let answers = join_all(addresses.iter().map(|url| read_status(&http, url, &args.token))).await;
+    let answers = join_all(addresses.iter().map(|url| read_status(&http, url, token))).await;
     let mut fleet = FleetStatus {
         findings: Vec::new(),
         instances: vec![first],
@@ -70,12 +85,7 @@
     }
     fleet.instances.sort_by(|a, b| a.instance.cmp(&b.instance));
     fleet.findings = findings(&fleet);
-    if args.json {
-        println!("{}", serde_json::to_string_pretty(&fleet)?);
-    } else {
-        print!("{}", screen::render(&fleet));
-    }
-    Ok(())
+    Ok(fleet)
 }
 
 async fn read_status(http: &reqwest::Client, url: &str, token: &str) -> Result<InstanceStatus> {
--- a/marigoldlock/src/front/auth.rs
+++ b/marigoldlock/src/front/auth.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use axum::http::{HeaderMap, header};
+use axum::http::{HeaderMap, HeaderValue, header};
 use marigoldlock_core::keys::{bearer_token, hash_key};
 use marigoldlock_core::settings::{ActiveSettings, CustomerSettings, ServiceSettings};
 use marigoldlock_wire::prelude::*;
@@ -43,9 +43,19 @@
     settings: &ActiveSettings,
     headers: &HeaderMap,
 ) -> Result<Arc<CustomerSettings>, Rejection> {
-    let value = headers
-        .get(header::AUTHORIZATION)
-        .ok_or_else(|| Rejection::new(ResultCode::MissingKey))?;
+    authenticate_value(settings, headers.get(header::AUTHORIZATION))
+}
+
+/// The customer whose key is in an `Authorization` header.
+///
+/// # Errors
+///
+/// Rejects a missing, unknown or withdrawn key.
+pub fn authenticate_value(
+    settings: &ActiveSettings,
+    value: Option<&HeaderValue>,
+) -> Result<Arc<CustomerSettings>, Rejection> {
+    let value = value.ok_or_else(|| Rejection::new(ResultCode::MissingKey))?;
     let text = value
         .to_str()
         .map_err(|_| Rejection::new(ResultCode::UnknownKey))?;
--- a/marigoldlock/src/front/mod.rs
+++ b/marigoldlock/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod guarded_stream;
 mod headers;
 mod jobs;
+mod kv;
 mod plain;
 mod probes;
 mod refusals;
--- a/marigoldlock/src/front/refusals.rs
+++ b/marigoldlock/src/front/refusals.rs
@@ -2,13 +2,13 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use axum::http::HeaderMap;
+use axum::http::HeaderValue;
 use axum::response::Response;
 use marigoldlock_core::settings::ActiveSettings;
 use marigoldlock_wire::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::auth::authenticate;
+use super::auth::authenticate_value;
 use super::reject::CODE_HEADER;
 
 /// Customer that requests without a known key count for.
@@ -33,7 +33,7 @@
 
 impl RefusalCounters {
     /// Counts an answer that carries a result code.
-    pub(super) fn note(&self, settings: &ActiveSettings, headers: &HeaderMap, response: &Response) {
+    pub(super) fn note(&self, settings: &ActiveSettings, key: Option<&HeaderValue>, response: &Response) {
         let code = response
             .headers()
             .get(CODE_HEADER)
@@ -42,7 +42,7 @@
             return;
         };
         metrics::counter!("marigoldlock_refusals_total", "code" => code.to_string()).increment(1);
-        let customer = match authenticate(settings, headers) {
+        let customer = match authenticate_value(settings, key) {
             Ok(customer) => customer.name.clone(),
             Err(_) => UNKNOWN_CUSTOMER.into(),
         };
--- a/marigoldlock/src/front/router.rs
+++ b/marigoldlock/src/front/router.rs
@@ -4,6 +4,7 @@
 
 use axum::Router;
 use axum::extract::{Request, State};
+use axum::http::header;
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::Response;
 use axum::routing::{any, get, post};
@@ -42,11 +43,11 @@
 
 /// Gives every answer a request id; one without is the HTTP library's own.
 async fn mark_answer(State(context): State<Arc<FrontContext>>, request: Request, next: Next) -> Response {
-    let headers = request.headers().clone();
+    let key = request.headers().get(header::AUTHORIZATION).cloned();
     let mut response = next.run(request).await;
     context
         .refusals
-        .note(&context.settings.active(), &headers, &response);
+        .note(&context.settings.active(), key.as_ref(), &response);
     if !response
         .headers()
         .contains_key(marigoldlock_wire::engine::REQUEST_ID_HEADER)
--- a/marigoldlock/src/front/session.rs
+++ b/marigoldlock/src/front/session.rs
@@ -24,14 +24,12 @@
 
 use super::chat::{ChatWork, with_field};
 use super::context::FrontContext;
+use super::kv::{CHAT_PATH, KvMover};
 use super::reject::Rejection;
 use crate::dispatch::{AdmitPermit, AttemptLease};
 use crate::logging::DECISION_TARGET;
 use crate::upstream::{UpstreamCall, classify, head_echo};
 
-/// Path of chat completions at an engine.
-const CHAT_PATH: &str = "/v1/chat/completions";
-
 /// Largest whole answer, in bytes.
 const WHOLE_ANSWER_BYTES: usize = 16 << 20;
 
@@ -191,6 +189,14 @@
             request: self.work.item.request,
             attempt: attempt.id,
         };
+        let mover = KvMover {
+            upstreams: &self.context.upstreams,
+            work: &self.work.item,
+            body: &self.work.body,
+            headers: &headers,
+            attempt: attempt.id,
+        };
+        mover.prepare(lease.decision()).await;
         self.relay.on_sent(attempt.id, self.context.now());
         let wait = self.time_left();
         let sent = self.context.upstreams.send_repeatable(call);
