--- a/marigoldlock/src/calls/plain.rs
+++ b/marigoldlock/src/calls/plain.rs
@@ -247,6 +247,17 @@
     }
 }
 
+/// Asks whether a call of this instance has no outcome in the log yet.
+struct IsOpen(CallHash);
+
+impl Message<IsOpen> for PlainActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, ask: IsOpen, _: &mut Context<Self, bool>) -> bool {
+        self.table.is_open(ask.0)
+    }
+}
+
 /// An append of the calls stream.
 pub(super) struct ReadCalls {
     pub(super) offset: u64,
@@ -342,6 +353,20 @@
         tell(&self.actor, SettlePlain { call, outcome });
     }
 
+    /// Waits until the outcome of a settled call has been read back from the log.
+    pub async fn recorded(&self, call: CallHash) {
+        let mut status = self.watch();
+        loop {
+            status.mark_unchanged();
+            if !self.actor.ask(IsOpen(call)).await.unwrap_or(false) {
+                return;
+            }
+            if status.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     pub(super) fn read(&self, read: ReadCalls) {
         tell(&self.actor, read);
     }
--- a/marigoldlock/src/calls/service.rs
+++ b/marigoldlock/src/calls/service.rs
@@ -19,6 +19,9 @@
 /// Pause between two looks at a call that another instance has claimed.
 const CLAIM_POLL: Duration = Duration::from_secs(1);
 
+/// Longest wait of a shutdown for an outcome to be in the log.
+const RECORD_WAIT: Duration = Duration::from_secs(30);
+
 /// Time to come back while the log is down.
 const LOG_RETRY: Duration = Duration::from_secs(2);
 
@@ -129,6 +132,10 @@
     async fn send_claimed(&self, hash: CallHash, call: &CallRequest, gate: &SendGate) -> CallAnswer {
         let (answer, outcome) = self.runner.run(call, gate).await;
         self.plain.settle(hash, outcome);
+        let plain = self.plain.clone();
+        // A shutdown waits for the outcome to be in the log, so that others can repeat the answer.
+        self.tracker
+            .spawn(async move { tokio::time::timeout(RECORD_WAIT, plain.recorded(hash)).await });
         answer
     }
 
--- a/marigoldlock/tests/calls_plain.rs
+++ b/marigoldlock/tests/calls_plain.rs
@@ -199,3 +199,30 @@
     assert_eq!((runs(&fleet, "both"), runs(&fleet, "fresh")), (1, 0));
     fleet.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_brings_the_outcome_into_the_log() {
+    let (mut fleet, caller) = start(2).await;
+    // The service answers only once the log refuses appends.
+    set_service_faults(&fleet, |plan| plan.answer_delay_ms = 500);
+    let body = booking();
+    let first = caller.book(0, "leaving", &body);
+    let refusing_log = async {
+        eventually("the call", async || runs(&fleet, "leaving") == 1).await;
+        fleet.log.faults().set(FaultPlan {
+            method: Some("POST".into()),
+            path: Some("/v1/streams/calls/".into()),
+            refuse: CallBudget::Next(20),
+            ..FaultPlan::default()
+        });
+    };
+    let (first, ()) = tokio::join!(first, refusing_log);
+
+    assert!(fleet.close_instance(0).await);
+    let retry = caller.book(1, "leaving", &body).await;
+
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    assert_eq!(retry.body, first.body);
+    assert_eq!(runs(&fleet, "leaving"), 1);
+    fleet.close().await;
+}
--- a/marigoldlock_core/src/calls/plain.rs
+++ b/marigoldlock_core/src/calls/plain.rs
@@ -116,6 +116,11 @@
         Some(open.claimed + self.limits.send_within)
     }
 
+    /// True from the claim until the outcome has been read back.
+    pub fn is_open(&self, call: CallHash) -> bool {
+        self.open.contains_key(&call)
+    }
+
     /// What the stream says.
     pub fn fold(&self) -> &ClaimFold {
         &self.fold
