--- a/marigoldctl/src/load/tests.rs
+++ b/marigoldctl/src/load/tests.rs
@@ -77,7 +77,7 @@
 route = "expected_cost"
 admission = "fair_share"
 placement = "adaptive"
-priorities = "prompt"
+priorities = "class"
 
 [[policy]]
 name = "round robin"
--- a/marigoldlock_core/src/routing/mod.rs
+++ b/marigoldlock_core/src/routing/mod.rs
@@ -16,6 +16,7 @@
 mod health;
 mod index;
 mod policy;
+mod subset;
 mod table;
 mod types;
 mod upstream;
@@ -26,9 +27,10 @@
 pub use baseline::{LeastInFlight, RandomPick, RoundRobin};
 pub use expected::ExpectedCost;
 pub use policy::{RoutePick, RoutePolicy, RoutePool};
+pub use subset::{UPSTREAMS_PER_SERVICE, upstream_subset};
 pub use table::RouteTable;
 pub use types::{
     AttemptOutcome, AttemptTicket, KvStep, PrefillStep, RouteAsk, RouteDecision, RouteParams, RouteReason,
-    RouteRefusal, RouteScore, UpstreamFacts, UpstreamKind, WorkClass,
+    RouteRefusal, RouteScore, UpstreamFacts, UpstreamKind, WorkClass, engine_priority,
 };
 pub use upstream::UpstreamState;
--- a/marigoldlock_core/src/routing/tests.rs
+++ b/marigoldlock_core/src/routing/tests.rs
@@ -490,3 +490,14 @@
     assert_eq!(run(4), run(4));
     assert_ne!(run(4), run(5));
 }
+
+#[test]
+fn engines_serve_the_urgent_and_the_short_first() {
+    let order = [
+        engine_priority(WorkClass::Interactive, 8_000),
+        engine_priority(WorkClass::Standard, 300),
+        engine_priority(WorkClass::Standard, 6_000),
+        engine_priority(WorkClass::Long, 100),
+    ];
+    assert!(order.is_sorted_by(|left, right| left < right));
+}
--- a/marigoldlock_core/src/routing/types.rs
+++ b/marigoldlock_core/src/routing/types.rs
@@ -31,12 +31,27 @@
     /// Every class, the most urgent first.
     pub const ALL: [Self; 3] = [Self::Interactive, Self::Standard, Self::Long];
 
-    /// Place in [`Self::ALL`]; also the priority that engines are given.
+    /// Place in [`Self::ALL`].
     pub const fn index(self) -> usize {
         self as usize
     }
 }
 
+/// Prompt tokens up to which a standard request is read before the larger ones.
+const SHORT_PROMPT_TOKENS: u64 = 1_024;
+
+/// Priority that an engine is given with a request; 0 is served first.
+///
+/// Short standard prompts go before long ones: they delay them little and would wait for them long.
+pub const fn engine_priority(class: WorkClass, prompt_tokens: u64) -> u8 {
+    match class {
+        WorkClass::Interactive => 0,
+        WorkClass::Standard if prompt_tokens <= SHORT_PROMPT_TOKENS => 1,
+        WorkClass::Standard => 2,
+        WorkClass::Long => 3,
+    }
+}
+
 /// What an upstream is.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
