Use a subset of a large service's upstreams

Cause: at 600 upstreams every instance would read the load of all; at about 900 bytes a read and two reads a second that is 1 MB/s against a budget of 11 KB/s. Change: an instance uses at most 24 upstreams of a service, picked by rendezvous hashing with its own data centre first, and paces its reads by a traffic budget (--report-bytes-per-s); admission scales the known slots to the whole service. Ruled out: reading all of them more rarely: 11 KB/s would allow one round in 49 s.

--- a/marigoldlock/src/cli.rs
+++ b/marigoldlock/src/cli.rs
@@ -49,6 +49,9 @@
     /// Time between reads of the instance list and of upstreams' load, in milliseconds.
     #[arg(long, env = "MARIGOLDLOCK_POLL_MS", default_value_t = 500)]
     pub poll_ms: u64,
+    /// Traffic for reading upstreams' load, in bytes per second; with many upstreams they are read less often.
+    #[arg(long, env = "MARIGOLDLOCK_REPORT_BYTES_PER_S", default_value_t = 40_000)]
+    pub report_bytes_per_s: u64,
     /// Connections held open at once.
     #[arg(long, env = "MARIGOLDLOCK_MAX_CONNECTIONS", default_value_t = 10_000)]
     pub max_connections: usize,
@@ -110,6 +113,7 @@
         }
         check_range("heartbeat-ms", self.heartbeat_ms, 10, 10_000)?;
         check_range("poll-ms", self.poll_ms, 10, 10_000)?;
+        check_range("report-bytes-per-s", self.report_bytes_per_s, 1_000, 10_000_000)?;
         check_range("max-header-bytes", self.max_header_bytes as u64, 8 << 10, 1 << 20)?;
         check_range("max-connections", self.max_connections as u64, 1, 1_000_000)?;
         check_range("send-timeout-ms", self.send_timeout_ms, 10, 600_000)?;
--- a/marigoldlock/src/dispatch/actor.rs
+++ b/marigoldlock/src/dispatch/actor.rs
@@ -10,7 +10,8 @@
 use marigoldlock_core::admission::AdmissionControl;
 use marigoldlock_core::relay::AttemptId;
 use marigoldlock_core::routing::{
-    AttemptOutcome, AttemptTicket, RouteDecision, RouteRefusal, RouteTable, UpstreamFacts, UpstreamKind,
+    AttemptOutcome, AttemptTicket, RouteDecision, RouteRefusal, RouteTable, UPSTREAMS_PER_SERVICE,
+    UpstreamFacts, UpstreamKind, upstream_subset,
 };
 use marigoldlock_wire::engine::{CacheEvents, LoadReport};
 use marigoldlock_wire::platform::{InstanceList, ListEntry, ListKind, ListState};
@@ -29,6 +30,8 @@
     pub admission: AdmissionControl,
     /// Clock of the instance.
     pub clock: Arc<dyn TimeSource>,
+    /// Name of the instance.
+    pub instance: InstanceId,
     /// Data centre of the instance.
     pub data_centre: DataCentre,
 }
@@ -47,7 +50,9 @@
     pub(super) table: RouteTable,
     pub(super) admission: AdmissionControl,
     pub(super) waiting: FastMap<RequestId, WaitingRequest>,
+    pub(super) listed: FastMap<ServiceId, usize>,
     pub(super) clock: Arc<dyn TimeSource>,
+    instance: InstanceId,
     data_centre: DataCentre,
     tickets: FastMap<AttemptKey, AttemptTicket>,
 }
@@ -61,13 +66,16 @@
             table,
             admission,
             clock,
+            instance,
             data_centre,
         } = sources;
         Ok(Self {
             table,
             admission,
             waiting: FastMap::default(),
+            listed: FastMap::default(),
             clock,
+            instance,
             data_centre,
             tickets: FastMap::default(),
         })
@@ -200,8 +208,19 @@
     type Reply = ();
 
     async fn handle(&mut self, update: UpdateList, _: &mut Context<Self, ()>) {
+        self.listed.clear();
+        for service in update.0.entries.iter().filter_map(|entry| entry.service.as_ref()) {
+            *self.listed.entry(service.clone()).or_default() += 1;
+        }
         let mut listed = FastSet::default();
-        for entry in &update.0.entries {
+        let name = self.instance.as_str();
+        let subset = upstream_subset(name, &self.data_centre, &update.0.entries, UPSTREAMS_PER_SERVICE);
+        for entry in update
+            .0
+            .entries
+            .iter()
+            .filter(|entry| subset.contains(entry.id.as_str()))
+        {
             let Some(facts) = upstream_facts(entry) else {
                 continue;
             };
--- a/marigoldlock/src/dispatch/admit.rs
+++ b/marigoldlock/src/dispatch/admit.rs
@@ -162,14 +162,21 @@
     }
 
     /// Tells admission how much each service can run.
+    ///
+    /// Of a large service only a part is known; its slots stand for the rest.
     pub(super) fn update_capacity(&mut self) {
         let params = RouteParams::default();
-        let mut slots: FastMap<ServiceId, u32> = FastMap::default();
+        let mut known: FastMap<ServiceId, (u32, usize)> = FastMap::default();
         for state in self.table.states() {
-            *slots.entry(state.facts().service.clone()).or_default() += usable_slots(state, &params);
+            let (slots, count) = known.entry(state.facts().service.clone()).or_default();
+            *slots += usable_slots(state, &params);
+            *count += 1;
         }
-        for (service, slots) in slots {
-            self.admission.set_capacity(&service, slots);
+        for (service, (slots, count)) in known {
+            let listed = self.listed.get(&service).copied().unwrap_or(count).max(count);
+            let all = u64::from(slots) * listed as u64 / count as u64;
+            self.admission
+                .set_capacity(&service, u32::try_from(all).unwrap_or(u32::MAX));
         }
     }
 }
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -26,6 +26,7 @@
 use crate::calls::{CallRunner, CallService, CallsSink, HomeHandle, PlainHandle};
 use crate::cli::InstanceOptions;
 use crate::clock::{BootClock, TimeSource};
+use crate::control::{ControlHandle, ControlParts, start_control};
 use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
 use crate::front::{
     ChatJobs, ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router,
@@ -34,7 +35,7 @@
 use crate::jobs::{JobHandle, JobsSink};
 use crate::log_stream::{FollowLimits, RecordWriter, StreamFollower, WriterLimits};
 use crate::members::{
-    HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, poll_list, poll_upstreams,
+    HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, ReportPace, poll_list, poll_upstreams,
 };
 use crate::peer::{PeerHandler, PeerPool, PeerServer};
 use crate::platform::{HttpListClient, HttpLogClient, ListClient, LogClient};
@@ -48,6 +49,9 @@
 /// Longest wait for running peer requests at shutdown.
 const PEER_DRAIN: Duration = Duration::from_secs(5);
 
+/// Longest wait for the resignation of duties at shutdown.
+const CONTROL_LEAVE: Duration = Duration::from_secs(5);
+
 /// A running entry instance.
 pub struct Instance {
     options: InstanceOptions,
@@ -56,6 +60,8 @@
     peer_server: PeerServer,
     peer_address: SocketAddr,
     calls: TaskTracker,
+    control: ControlHandle,
+    exchange: Arc<HeartbeatExchange>,
     tasks: Vec<AbortHandle>,
 }
 
@@ -93,10 +99,12 @@
         let (peer_server, peer_listener) = PeerServer::bind(options.peer_listen).await?;
         let peer_address = options.peer_advertise.unwrap_or(peer_server.address());
         let own = own_addresses(&options, clock.as_ref(), address, peer_address);
-        let parts = InstanceParts::build(&options, &own, Arc::clone(&log), clock);
+        let (feed, list_feed) = watch::channel(Arc::new(InstanceList::default()));
+        let parts = InstanceParts::build(&options, &own, Arc::clone(&log), clock, &list_feed);
         let admin = admin_context(&options, &own, &parts, log);
         let mut tasks = parts.tasks;
-        let (feed, list_feed) = watch::channel(Arc::new(InstanceList::default()));
+        let control = parts.exchange.control.clone();
+        let exchange = Arc::clone(&parts.exchange);
         let dispatch = parts.dispatch.clone();
         tasks.push(spawn(poll_list(
             list,
@@ -105,7 +113,13 @@
             dispatch.clone(),
             parts.members.clone(),
         )));
-        tasks.push(spawn(poll_upstreams(list_feed, options.poll(), dispatch)));
+        tasks.push(spawn(poll_upstreams(
+            list_feed,
+            report_pace(&options),
+            own.instance.clone(),
+            own.data_centre.clone(),
+            dispatch,
+        )));
         tasks.push(spawn(Arc::clone(&parts.exchange).run(options.heartbeat())));
         let settings = SettingsServer {
             clock: Arc::clone(&parts.context.clock),
@@ -129,6 +143,8 @@
             peer_server,
             peer_address,
             calls,
+            control,
+            exchange,
             tasks,
         })
     }
@@ -163,6 +179,7 @@
         info!(instance = self.options.name; "shutting down");
         self.context.set_leaving();
         self.context.calls.home.leave();
+        self.control.begin_leave();
         tokio::time::sleep(Duration::from_millis(self.options.leave_notice_ms)).await;
         let finished = self
             .front
@@ -174,6 +191,11 @@
             self.calls.wait(),
         );
         let finished = finished && calls.await.is_ok();
+        // What was served during the drain is counted at the peers before this instance ends.
+        self.exchange.round().await;
+        if !self.control.leave(CONTROL_LEAVE).await {
+            warn!(instance = self.options.name; "duties were not resigned in time; their leases run out");
+        }
         let finished = self.peer_server.close(PEER_DRAIN).await && finished;
         for task in &self.tasks {
             task.abort();
@@ -223,6 +245,13 @@
     }
 }
 
+fn report_pace(options: &InstanceOptions) -> ReportPace {
+    ReportPace {
+        shortest: options.poll(),
+        bytes_per_s: options.report_bytes_per_s,
+    }
+}
+
 fn connection_limits(options: &InstanceOptions) -> ConnectionLimits {
     ConnectionLimits {
         connections: options.max_connections,
@@ -247,9 +276,10 @@
         own: &OwnAddresses,
         log: Arc<dyn LogClient>,
         clock: Arc<dyn TimeSource>,
+        list: &watch::Receiver<Arc<InstanceList>>,
     ) -> Self {
         let (settings, settings_actor) = start_settings();
-        let dispatch = start_dispatch(&clock, &own.data_centre);
+        let dispatch = start_dispatch(&clock, own);
         let identity = OwnIdentity {
             instance: own.instance.clone(),
             incarnation: own.incarnation,
@@ -280,6 +310,16 @@
             peers: peers.clone(),
             tracker: TaskTracker::new(),
         };
+        let meter = UsageMeter::default();
+        let (control, control_tasks) = start_control(ControlParts {
+            options,
+            own,
+            log: Arc::clone(&log),
+            clock: Arc::clone(&clock),
+            members: members.clone(),
+            list: list.clone(),
+            meter: meter.clone(),
+        });
         let exchange = Arc::new(HeartbeatExchange {
             own: own.clone(),
             clock: Arc::clone(&clock),
@@ -289,12 +329,14 @@
             settings_actor,
             home,
             plain,
+            control,
             peers,
             leaving: Arc::clone(&leaving),
             sequence: AtomicU64::new(0),
         });
         let mut tasks = Vec::from(follow_settings(own, log, &exchange));
         tasks.extend(call_tasks);
+        tasks.extend(control_tasks);
         tasks.extend(job_tasks);
         let context = FrontContext::new(FrontParts {
             name: own.instance.clone(),
@@ -308,7 +350,7 @@
             upstreams,
             calls,
             jobs,
-            usage: UsageMeter::default(),
+            usage: meter,
             limits: FrontLimits {
                 send_silence: options.send_timeout(),
             },
@@ -421,13 +463,14 @@
     [spawn(follower.run()), spawn(writer.run())]
 }
 
-fn start_dispatch(clock: &Arc<dyn TimeSource>, data_centre: &DataCentre) -> DispatchHandle {
+fn start_dispatch(clock: &Arc<dyn TimeSource>, own: &OwnAddresses) -> DispatchHandle {
     let policy = Box::new(ExpectedCost::new(rand::random()));
     let sources = DispatchSources {
         table: RouteTable::new(RouteParams::default(), policy),
         admission: AdmissionControl::new(AdmissionParams::default()),
         clock: Arc::clone(clock),
-        data_centre: data_centre.clone(),
+        instance: own.instance.clone(),
+        data_centre: own.data_centre.clone(),
     };
     DispatchHandle::new(DispatchActor::spawn_with_mailbox(
         sources,
--- a/marigoldlock/src/members/mod.rs
+++ b/marigoldlock/src/members/mod.rs
@@ -8,4 +8,4 @@
 pub use actor::{KnownAddress, MemberActor, MemberSources, MemberStatus, NoteList};
 pub use exchange::{HeartbeatExchange, OwnAddresses};
 pub use handle::MemberHandle;
-pub use poll::{ListFeed, poll_list, poll_upstreams};
+pub use poll::{ListFeed, ReportPace, poll_list, poll_upstreams};
--- a/marigoldlock/src/members/poll.rs
+++ b/marigoldlock/src/members/poll.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use log::{debug, warn};
+use marigoldlock_core::routing::{UPSTREAMS_PER_SERVICE, upstream_subset};
 use marigoldlock_wire::engine::{CacheEvents, LoadReport};
 use marigoldlock_wire::platform::{InstanceList, ListEntry, ListKind};
 use marigoldlock_wire::prelude::*;
@@ -20,6 +21,9 @@
 /// Longest wait for a load report or cache events.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes of one upstream's load report and cache events, both ways and with headers.
+const REPORT_BYTES: u64 = 900;
+
 /// Reader of the list as last read.
 pub type ListFeed = watch::Receiver<Arc<InstanceList>>;
 
@@ -55,19 +59,47 @@
     }
 }
 
-/// Reads load and cache events of every listed upstream for as long as the task lives.
-pub async fn poll_upstreams(list: ListFeed, interval: Duration, dispatch: DispatchHandle) {
+/// How often upstreams are read.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportPace {
+    /// Shortest time between two rounds.
+    pub shortest: Duration,
+    /// Traffic of all reads together, in bytes per second.
+    pub bytes_per_s: u64,
+}
+
+impl ReportPace {
+    /// Time between two rounds over so many upstreams.
+    fn interval(&self, upstreams: usize) -> Duration {
+        let bytes = upstreams as u64 * REPORT_BYTES;
+        let needed = Duration::from_millis(bytes * 1_000 / self.bytes_per_s.max(1));
+        needed.max(self.shortest)
+    }
+}
+
+/// Reads load and cache events of the upstreams that this instance uses, for as long as the task lives.
+pub async fn poll_upstreams(
+    list: ListFeed,
+    pace: ReportPace,
+    instance: InstanceId,
+    local: DataCentre,
+    dispatch: DispatchHandle,
+) {
     let mut poller = ReportPoller {
         http: report_client(),
         next_event: FastMap::default(),
         dispatch,
     };
-    let mut ticks = tokio::time::interval(interval);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
         let list = Arc::clone(&list.borrow());
-        poller.poll(&list.entries).await;
+        let subset = upstream_subset(instance.as_str(), &local, &list.entries, UPSTREAMS_PER_SERVICE);
+        let used = list
+            .entries
+            .iter()
+            .filter(|entry| subset.contains(entry.id.as_str()));
+        let started = tokio::time::Instant::now();
+        poller.poll(used).await;
+        tokio::time::sleep_until(started + pace.interval(subset.len())).await;
     }
 }
 
@@ -88,9 +120,11 @@
 
 impl ReportPoller {
     /// One round over all upstreams side by side, so that a silent one delays no other.
-    async fn poll(&mut self, entries: &[ListEntry]) {
+    async fn poll<'a>(&mut self, entries: impl Iterator<Item = &'a ListEntry>) {
         let mut reads = FuturesUnordered::new();
-        for entry in entries.iter().filter(|entry| entry.kind != ListKind::Entry) {
+        let mut read = FastSet::default();
+        for entry in entries {
+            read.insert(entry.id.clone());
             let from = self.next_event.get(&entry.id).map_or(0, |(_, next)| *next);
             reads.push(read_reports(&self.http, entry, from));
         }
@@ -112,8 +146,7 @@
                 }
             }
         }
-        self.next_event
-            .retain(|id, _| entries.iter().any(|entry| entry.id == *id));
+        self.next_event.retain(|id, _| read.contains(id));
     }
 }
 
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -287,6 +287,7 @@
             admin_hash: Some(hash_key(ADMIN_TOKEN).to_string()),
             heartbeat_ms: self.options.interval_ms,
             poll_ms: self.options.interval_ms,
+            report_bytes_per_s: 10_000_000,
             max_connections: 10_000,
             max_header_bytes: 32 << 10,
             send_timeout_ms: self.options.send_timeout_ms,
