Ask three times the loss of a role change

Cause: the few role changes that were left in a mixed fleet still lost goodput: the predicted gain of a role of its own is small against the noise of the demand. Change: hysteresis 3.0, before 1.5.

--- a/marigoldlock_core/src/placement/types.rs
+++ b/marigoldlock_core/src/placement/types.rs
@@ -228,7 +228,7 @@
                 disturbed: 0.0,
             },
             dwell: Duration::from_secs(120),
-            hysteresis: 1.5,
+            hysteresis: 3.0,
             demand_half_life: Duration::from_secs(15),
             backlog_horizon: Duration::from_secs(30),
             drain_limit: Duration::from_secs(60),
