Plan placement at the holders of orders

Change: each instance plans for the data centres whose orders it holds, from its routing table and from the work asked of every instance, which heartbeats now tell; the control actor carries the orders out. Demand by model is not told yet, so models are not moved.

--- a/marigoldlock/src/dispatch/actor.rs
+++ b/marigoldlock/src/dispatch/actor.rs
@@ -14,10 +14,12 @@
     UpstreamFacts, UpstreamKind, upstream_subset,
 };
 use marigoldlock_wire::engine::{CacheEvents, LoadReport};
+use marigoldlock_wire::peer::ServiceDemand;
 use marigoldlock_wire::platform::{InstanceList, ListEntry, ListKind, ListState};
 use marigoldlock_wire::prelude::*;
 
 use super::admit::WaitingRequest;
+use super::demand::InstanceDemand;
 use super::work::WorkItem;
 use crate::clock::TimeSource;
 use crate::logging::DECISION_TARGET;
@@ -51,6 +53,8 @@
     pub(super) admission: AdmissionControl,
     pub(super) waiting: FastMap<RequestId, WaitingRequest>,
     pub(super) listed: FastMap<ServiceId, usize>,
+    pub(super) demand: FastMap<ServiceId, ServiceDemand>,
+    pub(super) peer_demand: FastMap<InstanceId, InstanceDemand>,
     pub(super) clock: Arc<dyn TimeSource>,
     instance: InstanceId,
     data_centre: DataCentre,
@@ -74,6 +78,8 @@
             admission,
             waiting: FastMap::default(),
             listed: FastMap::default(),
+            demand: FastMap::default(),
+            peer_demand: FastMap::default(),
             clock,
             instance,
             data_centre,
--- a/marigoldlock/src/dispatch/admit.rs
+++ b/marigoldlock/src/dispatch/admit.rs
@@ -93,6 +93,7 @@
 impl DispatchActor {
     fn offer(&mut self, admit: &Admit) -> AdmissionVerdict {
         let work = &admit.work;
+        self.count_demand(work);
         if !self
             .table
             .states()
--- a/marigoldlock/src/dispatch/mod.rs
+++ b/marigoldlock/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 
 mod actor;
 mod admit;
+mod demand;
 mod lease;
 mod peers;
 mod status;
@@ -14,6 +15,7 @@
 
 pub use actor::{DispatchActor, DispatchSources, UpdateCache, UpdateList, UpdateLoad};
 pub use admit::{AdmissionRefusal, AdmitPermit, CustomerTerms, Tick};
+pub use demand::{AskPlanning, InstanceDemand, PlanningView};
 pub use lease::{AttemptLease, DispatchHandle};
 pub use peers::{LoadSummary, OwnLoad, RemovePeer, UpdatePeer};
 pub use status::{ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
--- a/marigoldlock/src/dispatch/peers.rs
+++ b/marigoldlock/src/dispatch/peers.rs
@@ -1,10 +1,11 @@
 //! What peers and this instance tell each other about work in flight.
 
 use kameo::message::{Context, Message};
-use marigoldlock_wire::peer::{CustomerCounter, UpstreamLoad};
+use marigoldlock_wire::peer::{CustomerCounter, ServiceDemand, UpstreamLoad};
 use marigoldlock_wire::prelude::*;
 
 use super::actor::DispatchActor;
+use super::demand::InstanceDemand;
 
 /// A peer's work in flight and its customers' counters.
 pub struct UpdatePeer {
@@ -16,6 +17,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// Service that its customers have received.
     pub counters: Vec<CustomerCounter>,
+    /// Work asked of it, by service.
+    pub demand: Vec<ServiceDemand>,
 }
 
 impl Message<UpdatePeer> for DispatchActor {
@@ -26,6 +29,11 @@
         self.table.on_peer_load(&update.instance, &update.loads, now);
         self.admission
             .on_peer_counters(&update.instance, update.incarnation, &update.counters, now);
+        let demand = InstanceDemand {
+            incarnation: update.incarnation,
+            services: update.demand,
+        };
+        self.peer_demand.insert(update.instance, demand);
         self.deliver_admissions();
     }
 }
@@ -39,6 +47,7 @@
     async fn handle(&mut self, remove: RemovePeer, _: &mut Context<Self, ()>) {
         self.table.remove_peer(&remove.0);
         self.admission.remove_peer(&remove.0);
+        self.peer_demand.remove(&remove.0);
     }
 }
 
@@ -52,6 +61,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// Service that customers have received here.
     pub counters: Vec<CustomerCounter>,
+    /// Work asked of this instance, by service.
+    pub demand: Vec<ServiceDemand>,
 }
 
 impl Message<OwnLoad> for DispatchActor {
@@ -61,6 +72,7 @@
         LoadSummary {
             loads: self.table.own_load(),
             counters: self.admission.counters(),
+            demand: self.demand.values().cloned().collect(),
         }
     }
 }
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -38,6 +38,7 @@
     HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, ReportPace, poll_list, poll_upstreams,
 };
 use crate::peer::{PeerHandler, PeerPool, PeerServer};
+use crate::placing::{PlacementPlanner, PlannerParts};
 use crate::platform::{HttpListClient, HttpLogClient, ListClient, LogClient};
 use crate::settings::{
     NetworkPeers, SettingsActor, SettingsFollower, SettingsHandle, SettingsServer, SettingsState,
@@ -320,6 +321,14 @@
             list: list.clone(),
             meter: meter.clone(),
         });
+        let planner = PlacementPlanner::new(PlannerParts {
+            incarnation: own.incarnation,
+            clock: Arc::clone(&clock),
+            settings: settings.clone(),
+            dispatch: dispatch.clone(),
+            control: control.clone(),
+            scales: options.ordering_url.is_some(),
+        });
         let exchange = Arc::new(HeartbeatExchange {
             own: own.clone(),
             clock: Arc::clone(&clock),
@@ -337,6 +346,7 @@
         let mut tasks = Vec::from(follow_settings(own, log, &exchange));
         tasks.extend(call_tasks);
         tasks.extend(control_tasks);
+        tasks.push(spawn(planner.run()));
         tasks.extend(job_tasks);
         let context = FrontContext::new(FrontParts {
             name: own.instance.clone(),
--- a/marigoldlock/src/lib.rs
+++ b/marigoldlock/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod members;
 pub mod metrics;
 pub mod peer;
+pub mod placing;
 pub mod platform;
 pub mod settings;
 pub mod upstream;
--- /dev/null
+++ b/marigoldlock/tests/placing.rs
@@ -0,0 +1,35 @@
+//! Upstreams that placement orders.
+
+mod support;
+
+use marigoldlock_fleet::{Fleet, FleetOptions};
+use marigoldlock_wire::platform::OrderAction;
+use support::eventually;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn steady_upstreams_below_the_floor_are_ordered_and_each_only_once() {
+    let mut options = FleetOptions::small(2);
+    options.ordering.start_ms = 300;
+    let fleet = Fleet::start(options).await.expect("the fleet starts");
+    let deployment = fleet.options().deployment.clone();
+    let path = format!(
+        "teams/{}/services/{}/steady_floor",
+        deployment.team, deployment.chat
+    );
+
+    fleet.publish(&path, "value = 5");
+
+    eventually("two more engines", async || {
+        fleet.upstreams(deployment.chat.as_str()).len() >= 5
+    })
+    .await;
+    // Further rounds of planning must not order more.
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    let orders = fleet.ordering.seen();
+    let starts = orders
+        .iter()
+        .filter(|seen| matches!(seen.order.action, OrderAction::Start { .. }));
+    assert_eq!(starts.count(), 2, "{orders:#?}");
+    assert!(orders.iter().all(|seen| !seen.repeated), "{orders:#?}");
+    fleet.close().await;
+}
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -45,6 +45,8 @@
     pub service: ServiceOptions,
     /// How the log behaves.
     pub log: LogOptions,
+    /// How the ordering interface behaves.
+    pub ordering: OrderingOptions,
     /// How far the instance list lags, in milliseconds.
     pub list_lag_ms: u64,
     /// Time between heartbeats and between polls, in milliseconds.
@@ -66,6 +68,7 @@
             engine: EngineOptions::default(),
             service: ServiceOptions::default(),
             log: LogOptions::default(),
+            ordering: OrderingOptions::default(),
             list_lag_ms: 500,
             interval_ms: 200,
             send_timeout_ms: 10_000,
@@ -129,7 +132,7 @@
         let usage = UsageStandin::start(UsageOptions::default()).await?;
         let host = Arc::new(LocalHost::new(options.deployment.templates(&options)));
         let shown = Arc::new(list.handle().clone());
-        let ordering = OrderingStandin::start(OrderingOptions::default(), host.clone(), shown).await?;
+        let ordering = OrderingStandin::start(options.ordering.clone(), host.clone(), shown).await?;
         let mut fleet = Self {
             log,
             list,
--- a/marigoldlock_wire/src/peer.rs
+++ b/marigoldlock_wire/src/peer.rs
@@ -78,6 +78,21 @@
     pub calls_position: LogPosition,
     /// Home token that the sender gives out now.
     pub home: Incarnation,
+    /// Work that callers have asked of the sender, by service.
+    pub demand: Vec<ServiceDemand>,
+}
+
+/// Work asked of one instance since its start; it only grows.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: ServiceId,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Output tokens expected.
+    pub output_tokens: u64,
+    /// Tokens of either kind that may run on cheap capacity.
+    pub interruptible_tokens: u64,
 }
 
 /// A peer that the sender of a heartbeat has heard lately.
