--- a/marigoldlock/benches/front.rs
+++ b/marigoldlock/benches/front.rs
@@ -7,6 +7,7 @@
 
 use futures::{StreamExt, stream};
 use hdrhistogram::Histogram;
+use marigoldlock_fleet::process::thread_seconds;
 use marigoldlock_fleet::{Fleet, FleetOptions};
 use marigoldlock_wire::engine::ChatMessage;
 use reqwest::Client;
@@ -24,9 +25,6 @@
 /// Tokens of one stream.
 const STREAM_TOKENS: u64 = 8_192;
 
-/// Clock ticks of processor time in a second, as the kernel reports them.
-const TICKS_PER_S: f64 = 100.0;
-
 fn main() {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
@@ -175,16 +173,3 @@
     }
     bytes
 }
-
-/// Processor time of the process's threads with the name, in seconds.
-fn thread_seconds(name: &str) -> f64 {
-    let tasks = std::fs::read_dir("/proc/self/task").expect("the kernel lists threads");
-    let ticks = tasks.flatten().filter_map(|task| {
-        let stat = std::fs::read_to_string(task.path().join("stat")).ok()?;
-        let (head, rest) = stat.rsplit_once(") ")?;
-        let fields: Vec<&str> = rest.split(' ').collect();
-        let times = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-        head.ends_with(&format!("({name}")).then_some(times)
-    });
-    ticks.sum::<f64>() / TICKS_PER_S
-}
--- a/marigoldlock/src/members/poll.rs
+++ b/marigoldlock/src/members/poll.rs
@@ -16,7 +16,7 @@
 use super::actor::NoteList;
 use super::handle::MemberHandle;
 use crate::dispatch::{DispatchHandle, UpdateCache, UpdateList, UpdateLoad};
-use crate::platform::ListClient;
+use crate::platform::{ListClient, read_json};
 
 /// Longest wait for a load report or cache events.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -155,11 +155,11 @@
     entry: &'a ListEntry,
     from: u64,
 ) -> (&'a ListEntry, Option<LoadReport>, Option<CacheEvents>) {
-    let load = read_json(http, format!("http://{}/v1/load", entry.address)).await;
+    let load = read_report(http, format!("http://{}/v1/load", entry.address)).await;
     if entry.kind != ListKind::Engine {
         return (entry, load, None);
     }
-    let events = read_json(
+    let events = read_report(
         http,
         format!("http://{}/v1/cache/events?from={from}", entry.address),
     )
@@ -167,8 +167,8 @@
     (entry, load, events)
 }
 
-async fn read_json<T: serde::de::DeserializeOwned>(http: &reqwest::Client, url: String) -> Option<T> {
-    let read = async { http.get(&url).send().await?.error_for_status()?.json().await };
+async fn read_report<T: serde::de::DeserializeOwned>(http: &reqwest::Client, url: String) -> Option<T> {
+    let read = async { read_json(http.get(&url).send().await?.error_for_status()?, "report").await };
     match read.await {
         Ok(value) => Some(value),
         Err(err) => {
--- a/marigoldlock/src/peer/frame.rs
+++ b/marigoldlock/src/peer/frame.rs
@@ -18,11 +18,18 @@
         stream.flow_control().release_capacity(chunk.len())?;
         body.extend_from_slice(&chunk);
     }
+    count_bytes("received", body.len());
     Ok(body.freeze())
 }
 
+/// Counts message bytes, without the framing of h2.
+fn count_bytes(direction: &'static str, bytes: usize) {
+    metrics::counter!("marigoldlock_peer_bytes_total", "direction" => direction).increment(bytes as u64);
+}
+
 /// Writes a body whole, as far as the peer's window allows at a time.
 pub(super) async fn write_all(mut stream: SendStream<Bytes>, mut body: Bytes) -> Result<()> {
+    count_bytes("sent", body.len());
     while !body.is_empty() {
         stream.reserve_capacity(body.len());
         let granted = poll_fn(|cx| stream.poll_capacity(cx)).await;
--- a/marigoldlock/src/platform/list.rs
+++ b/marigoldlock/src/platform/list.rs
@@ -4,7 +4,7 @@
 use eyre::Result;
 use marigoldlock_wire::platform::InstanceList;
 
-use super::{ANSWER_TIMEOUT, platform_client};
+use super::{ANSWER_TIMEOUT, platform_client, read_json};
 
 /// The lagging list of live and leaving machines.
 #[async_trait]
@@ -40,6 +40,6 @@
     async fn read(&self) -> Result<InstanceList> {
         let request = self.http.get(&self.url).timeout(ANSWER_TIMEOUT);
         let response = request.send().await?.error_for_status()?;
-        Ok(response.json().await?)
+        read_json(response, "list").await
     }
 }
--- a/marigoldlock/src/platform/log.rs
+++ b/marigoldlock/src/platform/log.rs
@@ -10,7 +10,7 @@
 use marigoldlock_wire::platform::{AppendAnswer, MAX_RECORD_BYTES, ReadAnswer, ReadQuery};
 use reqwest::StatusCode;
 
-use super::{ANSWER_TIMEOUT, platform_client};
+use super::{ANSWER_TIMEOUT, platform_client, read_json};
 
 /// Why the log did not serve a call.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
@@ -129,7 +129,9 @@
         let request = self.http.get(url).timeout(wait.saturating_add(ANSWER_TIMEOUT));
         let response = request.send().await.map_err(|err| send_error(&err))?;
         check_status(response.status())?;
-        let answer: ReadAnswer = response.json().await.map_err(|err| unknown(&err))?;
+        let answer: ReadAnswer = read_json(response, "log")
+            .await
+            .map_err(|err| unknown(err.as_ref()))?;
         read_batch(answer)
     }
 }
--- a/marigoldlock/src/platform/mod.rs
+++ b/marigoldlock/src/platform/mod.rs
@@ -35,3 +35,13 @@
         .build()
         .expect("a client without TLS always builds")
 }
+
+/// Reads a JSON answer and counts its bytes for an interface.
+pub(crate) async fn read_json<T: serde::de::DeserializeOwned>(
+    response: reqwest::Response,
+    interface: &'static str,
+) -> eyre::Result<T> {
+    let body = response.bytes().await?;
+    metrics::counter!("marigoldlock_read_bytes_total", "interface" => interface).increment(body.len() as u64);
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod deployment;
 mod instance;
+pub mod process;
 
 use std::sync::Arc;
 use std::time::Duration;
