Show duties, orders and usage windows in the status

Cause: an operator could not see who holds what. Change: the status names the holder of each duty, the orders outstanding and the usage windows not yet reported.

--- a/marigoldctl/src/status/screen.rs
+++ b/marigoldctl/src/status/screen.rs
@@ -28,6 +28,7 @@
     write_instances(fleet, out)?;
     write_upstreams(fleet, out)?;
     write_queues(fleet, out)?;
+    write_duties(fleet, out)?;
     write_refusals(fleet, out)
 }
 
@@ -132,3 +133,23 @@
     }
     Ok(())
 }
+
+fn write_duties(fleet: &FleetStatus, out: &mut String) -> std::fmt::Result {
+    let Some(first) = fleet.instances.first() else {
+        return Ok(());
+    };
+    let mut held: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for duty in &first.duties {
+        let holder = duty.holder.as_ref().map_or("(nobody)", |holder| holder.as_str());
+        held.entry(holder).or_default().push(&duty.duty);
+    }
+    writeln!(out, "\n{:<20} duties", "holder")?;
+    for (holder, duties) in held {
+        writeln!(out, "{holder:<20} {}", duties.join(" "))?;
+    }
+    writeln!(
+        out,
+        "\norders outstanding {}, usage windows not yet reported {}",
+        first.outstanding_orders, first.unreported_windows
+    )
+}
--- a/marigoldlock/src/admin/mod.rs
+++ b/marigoldlock/src/admin/mod.rs
@@ -36,12 +36,13 @@
 use marigoldlock_wire::prelude::*;
 
 use crate::clock::TimeSource;
+use crate::control::ControlHandle;
 use crate::front::FrontContext;
 use crate::platform::LogClient;
 use crate::settings::{SettingsActor, SettingsHandle};
 
 pub use self::keys::{NewKeyAnswer, NewKeyRequest};
-pub use self::status::InstanceStatus;
+pub use self::status::{DutyStatus, InstanceStatus};
 
 /// What the administration API works with.
 pub struct AdminContext {
@@ -59,6 +60,8 @@
     pub log: Arc<dyn LogClient>,
     /// What the request handlers share.
     pub front: Arc<FrontContext>,
+    /// Way to the control actor.
+    pub control: ControlHandle,
     /// Hash of the token that may do everything, from a process flag.
     pub root_hash: Option<KeyHash>,
 }
--- a/marigoldlock/src/admin/status.rs
+++ b/marigoldlock/src/admin/status.rs
@@ -10,6 +10,7 @@
 
 use super::AdminContext;
 use super::operator::Operator;
+use crate::control::HeldDuty;
 use crate::dispatch::{QueueStatus, UpstreamStatus};
 use crate::front::RefusalCount;
 use crate::members::MemberStatus;
@@ -43,6 +44,23 @@
     pub queues: Vec<QueueStatus>,
     /// Refused and failed requests since the start.
     pub refusals: Vec<RefusalCount>,
+    /// Who holds which duty, as the control stream says.
+    pub duties: Vec<DutyStatus>,
+    /// Orders that are not settled.
+    pub outstanding_orders: usize,
+    /// Frozen usage windows that are not known to be reported.
+    pub unreported_windows: usize,
+}
+
+/// A duty and its holder.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DutyStatus {
+    /// The duty.
+    pub duty: String,
+    /// The instance that holds it; `None` after a resignation.
+    pub holder: Option<InstanceId>,
+    /// Position of the winning claim.
+    pub epoch: Epoch,
 }
 
 /// Tells an operator how the instance stands.
@@ -50,6 +68,7 @@
     let front = &context.front;
     let now = context.clock.now();
     let state = context.settings.state();
+    let control = context.control.status().await;
     let refuses = match state.verdict(now) {
         FreshnessVerdict::Serve => None,
         FreshnessVerdict::Refuse(code) => Some(code.number()),
@@ -68,5 +87,16 @@
         upstreams: front.dispatch.upstreams().await,
         queues: front.dispatch.queues().await,
         refusals: front.refusals.list(),
+        duties: control.duties.iter().map(duty_status).collect(),
+        outstanding_orders: control.outstanding_orders,
+        unreported_windows: control.unreported_windows,
     })
 }
+
+fn duty_status(held: &HeldDuty) -> DutyStatus {
+    DutyStatus {
+        duty: held.duty.to_string(),
+        holder: held.holder.as_ref().map(|holder| holder.instance.clone()),
+        epoch: held.epoch,
+    }
+}
--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -242,6 +242,7 @@
         settings_actor: parts.exchange.settings_actor.clone(),
         log,
         front: Arc::clone(&parts.context),
+        control: parts.exchange.control.clone(),
         root_hash: options.admin_hash.as_deref().and_then(|hash| hash.parse().ok()),
     }
 }
