Drop twins in the front

Cause: duplicates showed the context's fields twice and the mapping of a failure to an attempt's outcome three times. Change: the context derefs to its parts; FailureKind::attempt_outcome serves all three. Conclusion: one place each.

--- a/marigoldlock/src/calls/runner.rs
+++ b/marigoldlock/src/calls/runner.rs
@@ -88,14 +88,14 @@
                     permit.close(FinishedWork::default());
                     return (answer.clone(), CallOutcome::Answered(Arc::new(answer)));
                 }
-                Err(FailureKind::NotConnected) => lease.close(AttemptOutcome::Broken),
+                Err(FailureKind::NotConnected) => lease.close(FailureKind::NotConnected.attempt_outcome()),
                 Err(kind) => {
                     info!(
                         target: DECISION_TARGET,
                         request:% = call.work.request, upstream:% = lease.decision().upstream, failure:? = kind;
                         "call outcome unknown"
                     );
-                    lease.close(attempt_outcome(kind));
+                    lease.close(kind.attempt_outcome());
                     permit.close(FinishedWork::default());
                     return (failed(ResultCode::OutcomeUnknown, None), CallOutcome::Unknown);
                 }
@@ -132,13 +132,6 @@
     }
 }
 
-fn attempt_outcome(kind: FailureKind) -> AttemptOutcome {
-    match kind {
-        FailureKind::TimedOut => AttemptOutcome::TimedOut,
-        _ => AttemptOutcome::Broken,
-    }
-}
-
 async fn read_answer(mut response: reqwest::Response) -> Result<CallAnswer, FailureKind> {
     let status = response.status().as_u16();
     let headers = wire_headers(&crate::front::end_to_end(response.headers()));
--- a/marigoldlock/src/front/context.rs
+++ b/marigoldlock/src/front/context.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use derive_more::Deref;
 use marigoldlock_core::keys::FreshnessVerdict;
-use marigoldlock_core::relay::RetryBudget;
+use marigoldlock_core::relay::{BudgetLimits, RetryBudget};
 use marigoldlock_core::settings::ActiveSettings;
 use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::prelude::*;
@@ -31,41 +32,7 @@
     pub send_silence: Duration,
 }
 
-/// Shared parts of an instance's front.
-pub struct FrontContext {
-    /// Name of the instance.
-    pub name: InstanceId,
-    /// Start of the instance; also its home token.
-    pub incarnation: Incarnation,
-    /// Data centre of the instance.
-    pub data_centre: DataCentre,
-    /// Address told to callers.
-    pub address: String,
-    /// Clock of the instance.
-    pub clock: Arc<dyn TimeSource>,
-    /// Settings in force.
-    pub settings: SettingsHandle,
-    /// Way to the dispatch actor.
-    pub dispatch: DispatchHandle,
-    /// The other instances.
-    pub members: MemberHandle,
-    /// Clients towards upstreams.
-    pub upstreams: UpstreamClient,
-    /// Calls that may not be repeated.
-    pub calls: CallService,
-    /// Long work.
-    pub jobs: JobHandle,
-    /// Usage of customers.
-    pub usage: UsageMeter,
-    /// Bounds on requests.
-    pub limits: FrontLimits,
-    /// Refused and failed requests.
-    pub refusals: RefusalCounters,
-    budget: Mutex<RetryBudget>,
-    leaving: Arc<AtomicBool>,
-}
-
-/// Parts of a [`FrontContext`] that are handed in.
+/// What the request handlers are given.
 pub struct FrontParts {
     /// Name of the instance.
     pub name: InstanceId,
@@ -97,27 +64,24 @@
     pub leaving: Arc<AtomicBool>,
 }
 
+/// What the request handlers share.
+#[derive(Deref)]
+pub struct FrontContext {
+    #[deref]
+    parts: FrontParts,
+    /// Refused and failed requests.
+    pub refusals: RefusalCounters,
+    budget: Mutex<RetryBudget>,
+}
+
 impl FrontContext {
     /// A context around the parts.
     pub fn new(parts: FrontParts) -> Self {
-        let now = parts.clock.now();
+        let budget = RetryBudget::new(BudgetLimits::default(), parts.clock.now());
         Self {
-            name: parts.name,
-            incarnation: parts.incarnation,
-            data_centre: parts.data_centre,
-            address: parts.address,
-            clock: parts.clock,
-            settings: parts.settings,
-            dispatch: parts.dispatch,
-            members: parts.members,
-            upstreams: parts.upstreams,
-            calls: parts.calls,
-            jobs: parts.jobs,
-            usage: parts.usage,
-            limits: parts.limits,
+            parts,
             refusals: RefusalCounters::default(),
-            budget: Mutex::new(RetryBudget::new(Default::default(), now)),
-            leaving: parts.leaving,
+            budget: Mutex::new(budget),
         }
     }
 
--- a/marigoldlock/src/front/plain.rs
+++ b/marigoldlock/src/front/plain.rs
@@ -243,10 +243,7 @@
             request:% = call.work.request, upstream:% = lease.decision().upstream, failure:? = kind;
             "attempt failed"
         );
-        lease.close(match kind {
-            FailureKind::TimedOut => AttemptOutcome::TimedOut,
-            _ => AttemptOutcome::Broken,
-        });
+        lease.close(kind.attempt_outcome());
         may_have_run |= !kind.is_rejection();
         last = kind.result_code();
         let again = match kind.resend_rule(true) {
--- a/marigoldlock/src/front/session.rs
+++ b/marigoldlock/src/front/session.rs
@@ -251,7 +251,7 @@
             request:% = self.work.item.request, attempt = id.0, upstream:%, failure:? = kind;
             "attempt failed"
         );
-        lease.close(outcome(kind));
+        lease.close(kind.attempt_outcome());
         self.tried.push(upstream);
         self.may_have_run |= !kind.is_rejection();
         Failure::Attempt { id, kind }
@@ -416,17 +416,6 @@
     }
 }
 
-fn outcome(kind: FailureKind) -> AttemptOutcome {
-    match kind {
-        FailureKind::Refused => AttemptOutcome::Refused,
-        FailureKind::TimedOut => AttemptOutcome::TimedOut,
-        FailureKind::NotConnected
-        | FailureKind::ResetAfterSend
-        | FailureKind::Broken
-        | FailureKind::Crossed => AttemptOutcome::Broken,
-    }
-}
-
 fn note_progress(open: &mut OpenAttempt) {
     if open.blocks == 0 {
         open.lease.first_token();
--- a/marigoldlock_core/src/relay/failure.rs
+++ b/marigoldlock_core/src/relay/failure.rs
@@ -2,6 +2,8 @@
 
 use marigoldlock_wire::prelude::*;
 
+use crate::routing::AttemptOutcome;
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FailureKind {
@@ -55,6 +57,15 @@
         }
     }
 
+    /// How the attempt counts for its upstream.
+    pub fn attempt_outcome(self) -> AttemptOutcome {
+        match self {
+            Self::Refused => AttemptOutcome::Refused,
+            Self::TimedOut => AttemptOutcome::TimedOut,
+            Self::NotConnected | Self::ResetAfterSend | Self::Broken | Self::Crossed => AttemptOutcome::Broken,
+        }
+    }
+
     /// Result code for the caller when the request is not sent again and nothing of an answer was given.
     pub fn result_code(self) -> ResultCode {
         match self {
