--- a/marigoldlock/tests/jobs_outlive.rs
+++ b/marigoldlock/tests/jobs_outlive.rs
@@ -2,8 +2,13 @@
 
 mod support;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use marigoldlock_fleet::{Fleet, FleetOptions};
 use marigoldlock_standin::prelude::*;
+use marigoldlock_wire::codec;
+use marigoldlock_wire::record::jobs::JobRecord;
+use marigoldlock_wire::record::{Envelope, JOBS_STREAM};
 use reqwest::StatusCode;
 use serde_json::{Value, json};
 use support::{CallResult, TestCaller, call_result, chat_messages, eventually};
@@ -172,22 +177,37 @@
     fleet.close().await;
 }
 
+/// Number of the instance whose claim is in the log, if there is one.
+fn holder(fleet: &Fleet) -> Option<usize> {
+    let records = fleet.log.records(JOBS_STREAM, 0).records;
+    let envelopes = records.iter().map(|record| {
+        let data = STANDARD.decode(&record.data).expect("the log gives base64");
+        codec::decode::<Envelope<JobRecord>>(&data).expect("an envelope of jobs")
+    });
+    let is_claim = |record: &JobRecord| matches!(record, JobRecord::Claim(_));
+    let claim = envelopes
+        .into_iter()
+        .find(|envelope| envelope.records.iter().any(is_claim))?;
+    fleet
+        .instances
+        .iter()
+        .position(|instance| instance.name() == claim.writer.as_str())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_instance_takes_over_when_the_holder_is_killed() {
     let (mut fleet, caller) = start(2).await;
     let prompt = "Review the long contract";
     set_engine_faults(&fleet, |plan| plan.stall = CallBudget::Every);
     let job = job_id(&submit(&caller, 0, prompt, None).await);
-    eventually("a holder", async || {
-        let job = look_up(&caller, 0, &job).await.unwrap_or_default();
-        job["state"] == "running"
-    })
-    .await;
+    eventually("a holder", async || holder(&fleet).is_some()).await;
+    let killed = holder(&fleet).expect("there is a holder");
 
-    fleet.kill_instance(0);
-    fleet.delist(0);
+    fleet.kill_instance(killed);
+    fleet.delist(killed);
     set_engine_faults(&fleet, |plan| plan.stall = CallBudget::None);
 
-    assert_eq!(finished_text(&caller, 1, &job).await, expected(prompt));
+    let survivor = 1 - killed;
+    assert_eq!(finished_text(&caller, survivor, &job).await, expected(prompt));
     fleet.close().await;
 }
