Call an instance ready once it knows upstreams

Cause: a starting instance told its peers that it was ready before its first read of the list, and refused its first chats with code 3005. Change: readiness needs a list with entries. Conclusion: the address answer names an instance only when it can route.

--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -335,6 +335,7 @@
             clock: Arc::clone(&clock),
             members: members.clone(),
             dispatch: dispatch.clone(),
+            list: list.clone(),
             settings: settings.clone(),
             settings_actor,
             home,
--- a/marigoldlock/src/members/exchange.rs
+++ b/marigoldlock/src/members/exchange.rs
@@ -16,6 +16,7 @@
 
 use super::actor::{MemberRound, NoteHeartbeat, TickMembers};
 use super::handle::MemberHandle;
+use super::poll::ListFeed;
 use crate::calls::{HomeHandle, PlainHandle};
 use crate::clock::TimeSource;
 use crate::control::ControlHandle;
@@ -53,6 +54,8 @@
     pub members: MemberHandle,
     /// Way to the dispatch actor.
     pub dispatch: DispatchHandle,
+    /// The list as last read.
+    pub list: ListFeed,
     /// Settings in force.
     pub settings: SettingsHandle,
     /// The actor that folds them.
@@ -176,6 +179,8 @@
         let state = self.settings.state();
         let load = self.dispatch.actor().ask(OwnLoad).await.unwrap_or_default();
         let leaving = self.leaving.load(Ordering::Relaxed);
+        // Before its first read of the list an instance has nowhere to send a request.
+        let knows_upstreams = !self.list.borrow().entries.is_empty();
         Heartbeat {
             instance: self.own.instance.as_str().to_owned(),
             incarnation: self.own.incarnation,
@@ -184,7 +189,7 @@
             address: self.own.address.clone(),
             peer_address: self.own.peer_address.clone(),
             leaving,
-            ready: !leaving && state.verdict(now) == FreshnessVerdict::Serve,
+            ready: !leaving && knows_upstreams && state.verdict(now) == FreshnessVerdict::Serve,
             settings_version: state.active.version(),
             log_age_ms: state.age(now).map_or(u64::MAX, |age| age.as_millis() as u64),
             in_flight: load.loads,
