Test kills, pauses, drains and outages with real processes

Cause: most failure tests end an instance by ending its runtime, which is not what a signal does. Change: tests whose instances are processes: SIGKILL amid streams and bookings, callers that go to another address after it, SIGTERM drain, restart under the same name, log gone, log and list silent, SIGSTOP of a peer. Each not_run is checked against what the service has seen by then. Not tried with its mechanism off: the address answer after SIGSTOP. The pause of the home amid a booking stays in calls_paused.

--- a/marigoldlock/tests/support/process.rs
+++ b/marigoldlock/tests/support/process.rs
@@ -1,7 +1,9 @@
-//! An entry instance as a process of its own, which can be paused.
+//! An entry instance as a process of its own, which can be paused, killed and drained.
+
+#![allow(dead_code, reason = "each test binary uses a part of it")]
 
 use std::io::{BufRead, BufReader};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use marigoldlock_fleet::Fleet;
 use marigoldlock_wire::platform::{CapacityKind, ListEntry, ListKind, ListState};
@@ -11,18 +13,25 @@
 /// An instance in a child process.
 pub struct ProcessInstance {
     child: Child,
+    pub name: String,
     pub address: String,
 }
 
 impl ProcessInstance {
     /// Starts an instance on the fleet's platform and puts it on the list.
     pub fn start(fleet: &Fleet, name: &str) -> Self {
+        Self::start_with(fleet, name, &[])
+    }
+
+    /// Starts an instance with further flags.
+    pub fn start_with(fleet: &Fleet, name: &str, flags: &[&str]) -> Self {
         let data_centre = fleet.options().deployment.data_centres[0].clone();
         let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldlock"))
             .args(["--name", name, "--data-centre", data_centre.as_str()])
             .args(["--log-url", &format!("http://{}", fleet.log.address())])
             .args(["--list-url", &format!("http://{}", fleet.list.address())])
             .args(["--heartbeat-ms", "50", "--poll-ms", "50"])
+            .args(flags)
             .env("RUST_LOG", "info")
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -39,7 +48,31 @@
             capacity: CapacityKind::Steady,
             state: ListState::Live,
         });
-        Self { child, address }
+        Self {
+            child,
+            name: name.to_owned(),
+            address,
+        }
+    }
+
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Asks the process to drain and end.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// How the process ended; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the child is ours")
     }
 
     /// Stops the process where it stands.
