Test orders of paused and answerless processes; split the control actor

Change: tests of lost answers, sends held back, pauses between check and send, and a log outage, each beside its twin with the rule left out (SkipLookUp, EarlyLookUp, IgnoreSender), which shows the failure. Actor and model are split by subject. Found and mended: an answered order still counted as being sent, so a process that lost its duty meanwhile never said that it had stopped, and its successor waited for good. Before: platform_gets_each_order_once_after_a_pause and unfenced_engine_gets_no_old_order_after_a_newer_one fail with one order outstanding; after: both pass. Conclusion: the shell keeps what the model promises in these cases.

--- a/marigoldlock/src/control/mod.rs
+++ b/marigoldlock/src/control/mod.rs
@@ -9,7 +9,10 @@
 mod append;
 mod clients;
 mod handle;
+mod members_view;
 mod messages;
+mod receive;
+mod sends;
 mod sink;
 mod start;
 
--- /dev/null
+++ b/marigoldlock/src/control/receive.rs
@@ -0,0 +1,207 @@
+//! What the actor does with each message.
+
+use kameo::message::{Context, Message};
+use log::warn;
+use marigoldlock_wire::codec;
+use marigoldlock_wire::record::Envelope;
+use marigoldlock_wire::record::authority::{ControlRecord, Duty};
+
+use super::actor::ControlActor;
+use super::append::AppendFate;
+use super::clients::SendFate;
+use super::messages::{
+    AppendDone, AskControl, AskShares, ControlStatus, HeldDuty, Leave, LookUpDone, MergeShares, OrderDone,
+    ReadControl, ReadProgress, ReportDone, ShareList, Tick, WishOrder,
+};
+
+impl Message<ReadControl> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ReadControl, _: &mut Context<Self, Self::Reply>) {
+        if self.has_gap {
+            return;
+        }
+        let ReadControl { offset, data } = message;
+        match codec::decode::<Envelope<ControlRecord>>(&data) {
+            Ok(envelope) if self.process.is_some() => self.fold(offset, &envelope),
+            Ok(envelope) => self.early.push((offset, envelope)),
+            Err(error) => warn!(offset, error:%; "a record of the control stream can't be read"),
+        }
+    }
+}
+
+impl Message<ReadProgress> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, progress: ReadProgress, _: &mut Context<Self, Self::Reply>) {
+        match progress {
+            ReadProgress::Kept(first) if self.early.is_empty() => self.first_kept = first,
+            ReadProgress::Kept(_) => {}
+            ReadProgress::CaughtUp if self.process.is_none() && !self.has_gap => self.restore(),
+            ReadProgress::CaughtUp => {}
+            ReadProgress::Gap => {
+                self.has_gap = true;
+                self.process = None;
+            }
+        }
+    }
+}
+
+impl Message<Tick> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.refresh_members().await;
+        self.count_usage();
+        self.append_due();
+        self.send_due();
+    }
+}
+
+impl Message<AppendDone> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, done: AppendDone, _: &mut Context<Self, Self::Reply>) {
+        if done.fate == AppendFate::Refused {
+            self.on_the_way.take_if(|id| *id == done.id);
+            if let Some(process) = self.process.as_mut() {
+                process.holder_mut().append_refused(done.id);
+            }
+        }
+    }
+}
+
+impl Message<OrderDone> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, done: OrderDone, _: &mut Context<Self, Self::Reply>) {
+        let now = self.now();
+        let Some(process) = self.process.as_mut() else {
+            return;
+        };
+        let orders = process.orders_mut();
+        match done.fate {
+            SendFate::Answered(answer) => orders.answered(done.intent, answer, now),
+            SendFate::NotSent => orders.not_sent(done.intent, now),
+            SendFate::Lost => orders.answer_lost(done.intent, now),
+        }
+    }
+}
+
+impl Message<LookUpDone> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, done: LookUpDone, _: &mut Context<Self, Self::Reply>) {
+        let now = self.now();
+        if let Some(process) = self.process.as_mut() {
+            process.orders_mut().looked_up(done.intent, done.answer, now);
+        }
+    }
+}
+
+impl Message<ReportDone> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, done: ReportDone, _: &mut Context<Self, Self::Reply>) {
+        let now = self.now();
+        let Some(process) = self.process.as_mut() else {
+            return;
+        };
+        if done.is_taken {
+            process.usage_mut().report_taken(&done.customer, done.window);
+        } else {
+            process.usage_mut().report_lost(&done.customer, done.window, now);
+        }
+    }
+}
+
+impl Message<WishOrder> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, wish: WishOrder, _: &mut Context<Self, Self::Reply>) {
+        let now = self.now();
+        let Some(process) = self.process.as_mut() else {
+            return;
+        };
+        let duty = Duty::Orders {
+            data_centre: wish.data_centre,
+        };
+        // A wish made without authority would be out of date by the time it could be an intent.
+        if process.authority(&duty, now).is_some() {
+            process.orders_mut().wish(duty, wish.body);
+        }
+    }
+}
+
+impl Message<MergeShares> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, MergeShares(shares): MergeShares, _: &mut Context<Self, Self::Reply>) {
+        if let Some(process) = self.process.as_mut() {
+            for share in &shares {
+                process.usage_mut().counts_mut().merge(share);
+            }
+        }
+    }
+}
+
+impl Message<AskShares> for ControlActor {
+    type Reply = ShareList;
+
+    async fn handle(&mut self, _: AskShares, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.count_usage();
+        let Some(process) = &self.process else {
+            return ShareList::default();
+        };
+        let ledger = process.fold().usage();
+        let now = self.now();
+        let shares = process.usage().counts().shares(ledger, |holder| {
+            !self.is_heard(holder) || self.is_gone(holder, now)
+        });
+        ShareList(shares)
+    }
+}
+
+impl Message<Leave> for ControlActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.now();
+        let Some(process) = self.process.as_mut() else {
+            return true;
+        };
+        process.holder_mut().leave(now);
+        process.holder().is_idle()
+    }
+}
+
+impl Message<AskControl> for ControlActor {
+    type Reply = ControlStatus;
+
+    async fn handle(&mut self, _: AskControl, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.status()
+    }
+}
+
+impl ControlActor {
+    fn status(&self) -> ControlStatus {
+        let Some(process) = &self.process else {
+            return ControlStatus::default();
+        };
+        let now = self.now();
+        let fold = process.fold();
+        let duties = fold.authority().heads().map(|(duty, head)| HeldDuty {
+            duty: duty.clone(),
+            holder: (!head.resigned).then(|| head.holder.clone()),
+            epoch: head.epoch,
+            is_own: process.authority(duty, now).is_some(),
+        });
+        ControlStatus {
+            is_ready: true,
+            next_offset: fold.next_offset(),
+            duties: duties.collect(),
+            outstanding_orders: fold.orders().iter().count(),
+            unreported_windows: fold.usage().unreported().count(),
+        }
+    }
+}
--- /dev/null
+++ b/marigoldlock/src/control/sends.rs
@@ -0,0 +1,150 @@
+//! Sending orders, look-ups and reports.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use marigoldlock_core::orders::{EngineAnswer, OrderEffect, SendOrder};
+use marigoldlock_core::usage::SendReport;
+use marigoldlock_wire::engine::EngineOrder;
+use marigoldlock_wire::platform::{UpstreamOrder, UsageReport};
+use marigoldlock_wire::prelude::*;
+use marigoldlock_wire::record::authority::Duty;
+use marigoldlock_wire::record::orders::OrderBody;
+
+use super::actor::ControlActor;
+use super::clients::{OrderClient, SendFate};
+use super::messages::{LookUpDone, OrderDone, ReportDone};
+
+impl ControlActor {
+    pub(super) fn send_due(&mut self) {
+        let now = self.now();
+        let open_window = self.window_now();
+        let Some(process) = self.process.as_mut() else {
+            return;
+        };
+        let effects = process.due_order_effects(now);
+        let reports = process.due_reports(open_window, now);
+        for effect in effects {
+            match effect {
+                OrderEffect::Send(order) => self.send_order(order),
+                OrderEffect::LookUp { intent, reference } => self.look_up(intent, reference),
+                OrderEffect::Replace { intent, upstream } => {
+                    warn!(intent:%, upstream:%; "an order can't be settled; the engine is to be replaced");
+                }
+            }
+        }
+        for report in reports {
+            self.send_report(report);
+        }
+    }
+
+    fn send_order(&self, order: SendOrder) {
+        let intent = order.intent;
+        info!(intent:%, body:? = order.body, fence:% = order.fence; "order sent");
+        let client = Arc::clone(&self.sources.orders);
+        let clock = Arc::clone(&self.sources.clock);
+        let own = self.own.clone();
+        let orderer = self.sources.own.instance.clone();
+        let address = self.address_of(&order.body);
+        tokio::spawn(async move {
+            let fate = if clock.now() < order.not_after {
+                send(client.as_ref(), address, order, orderer).await
+            } else {
+                SendFate::NotSent
+            };
+            own.tell(OrderDone { intent, fate });
+        });
+    }
+
+    fn address_of(&self, body: &OrderBody) -> Option<String> {
+        let OrderBody::Engine { upstream, .. } = body else {
+            return None;
+        };
+        let list = self.sources.list.borrow();
+        let entry = list.entries.iter().find(|entry| entry.id == upstream.as_str())?;
+        Some(entry.address.clone())
+    }
+
+    fn look_up(&self, intent: LogPosition, reference: String) {
+        let client = Arc::clone(&self.sources.orders);
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            let answer = client.look_up(&reference).await;
+            own.tell(LookUpDone { intent, answer });
+        });
+    }
+
+    fn send_report(&self, report: SendReport) {
+        let Some(client) = self.sources.reports.clone() else {
+            return;
+        };
+        let clock = Arc::clone(&self.sources.clock);
+        let own = self.own.clone();
+        let reporter = self.sources.own.instance.clone();
+        tokio::spawn(async move {
+            let SendReport {
+                customer,
+                window,
+                figure,
+                epoch,
+                not_after,
+            } = report;
+            let body = UsageReport {
+                customer: customer.clone(),
+                window,
+                figure,
+                reporter,
+                epoch,
+            };
+            let is_taken = clock.now() < not_after && client.report(&body).await;
+            own.tell(ReportDone {
+                customer,
+                window,
+                is_taken,
+            });
+        });
+    }
+}
+
+async fn send(
+    client: &dyn OrderClient,
+    address: Option<String>,
+    order: SendOrder,
+    orderer: InstanceId,
+) -> SendFate<EngineAnswer> {
+    let SendOrder {
+        reference,
+        fence,
+        duty,
+        body,
+        ..
+    } = order;
+    match body {
+        OrderBody::Engine { action, .. } => {
+            let Some(address) = address else {
+                return SendFate::NotSent;
+            };
+            let order = EngineOrder {
+                reference,
+                epoch: fence,
+                orderer,
+                action,
+            };
+            client.order_engine(&address, &order).await
+        }
+        OrderBody::Platform { service, action } => {
+            let Duty::Orders { data_centre } = duty else {
+                return SendFate::NotSent;
+            };
+            let order = UpstreamOrder {
+                reference,
+                epoch: fence,
+                orderer,
+                data_centre,
+                service,
+                action,
+            };
+            client.order_upstream(&order).await
+        }
+    }
+}
--- a/marigoldlock/tests/control_support/mod.rs
+++ b/marigoldlock/tests/control_support/mod.rs
@@ -2,26 +2,30 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+pub mod orders;
+
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use marigoldlock::clock::TokioClock;
-use marigoldlock::control::{
-    ControlHandle, ControlSink, ControlSources, HttpOrderClient, OrderClient, ReportClient,
-};
+use marigoldlock::control::{ControlHandle, ControlSink, ControlSources, ReportClient};
 use marigoldlock::log_stream::{FollowLimits, StreamFollower};
 use marigoldlock::platform::{LogClient, LogError, ReadBatch};
 use marigoldlock::usage::UsageMeter;
 use marigoldlock_core::authority::{ControlTiming, Fault};
-use marigoldlock_wire::platform::{UsageFigure, UsageReport};
+use marigoldlock_wire::platform::{
+    CapacityKind, InstanceList, ListEntry, ListKind, ListState, UsageFigure, UsageReport,
+};
 use marigoldlock_wire::prelude::*;
 use marigoldlock_wire::record::CONTROL_STREAM;
 use marigoldlock_wire::record::authority::HolderId;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use self::orders::OrderStore;
+
 /// Log in memory, seen by one process through its own gate.
 #[derive(Clone)]
 pub struct MemoryLog {
@@ -169,6 +173,52 @@
     }
 }
 
+/// What a control process is made of.
+pub struct NodeParts<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// The log.
+    pub log: &'a LogStore,
+    /// The usage interface.
+    pub reports: ReportStore,
+    /// The receivers of orders.
+    pub orders: OrderStore,
+    /// Rule to leave out.
+    pub fault: Option<Fault>,
+}
+
+impl<'a> NodeParts<'a> {
+    /// A process with receivers of its own.
+    pub fn new(name: &'a str, log: &'a LogStore) -> Self {
+        let (reports, orders) = Default::default();
+        Self {
+            name,
+            log,
+            reports,
+            orders,
+            fault: None,
+        }
+    }
+}
+
+/// A list with one engine.
+fn engine_list() -> InstanceList {
+    let engine = ListEntry {
+        id: "e1".to_owned(),
+        kind: ListKind::Engine,
+        service: Some("copydesk-llm".into()),
+        data_centre: "pest-a".into(),
+        address: "127.0.0.1:1".to_owned(),
+        peer_address: None,
+        capacity: CapacityKind::Steady,
+        state: ListState::Live,
+    };
+    InstanceList {
+        version: 1,
+        entries: vec![engine],
+    }
+}
+
 /// One control process.
 pub struct ControlNode {
     /// Way to its actor.
@@ -179,41 +229,54 @@
     pub log_gate: Gate,
     /// Its way to the usage interface.
     pub report_gate: Gate,
+    /// Its way to the receivers of orders.
+    pub order_gate: Gate,
     tasks: [AbortHandle; 2],
 }
 
 impl ControlNode {
-    /// Starts a process.
+    /// Starts a process that only reports.
     pub fn start(name: &str, log: &LogStore, reports: &ReportStore) -> Self {
         Self::start_faulty(name, log, reports, None)
     }
 
-    /// Starts a process with a rule left out.
+    /// Starts a process that only reports, with a rule left out.
     pub fn start_faulty(name: &str, log: &LogStore, reports: &ReportStore, fault: Option<Fault>) -> Self {
-        let (client, log_gate) = log.client();
-        let (report_gate, gate) = watch::channel(true);
+        let reports = reports.clone();
+        Self::start_with(NodeParts {
+            reports,
+            fault,
+            ..NodeParts::new(name, log)
+        })
+    }
+
+    /// Starts a process.
+    pub fn start_with(parts: NodeParts<'_>) -> Self {
+        let (client, log_gate) = parts.log.client();
+        let (report_gate, reports) = watch::channel(true);
+        let (order_gate, orders) = watch::channel(true);
         let clock = Arc::new(TokioClock::start());
         let meter = UsageMeter::default();
         let control = ControlHandle::start(ControlSources {
             own: HolderId {
-                instance: name.into(),
-                incarnation: Incarnation(name.len() as u64 + u64::from(name.as_bytes()[0])),
+                instance: parts.name.into(),
+                incarnation: Incarnation(parts.name.as_bytes()[0].into()),
             },
             data_centre: "pest-a".into(),
             clock: clock.clone(),
             log: Arc::new(client.clone()),
-            orders: Arc::new(HttpOrderClient::new(None)) as Arc<dyn OrderClient>,
+            orders: Arc::new(parts.orders.client(orders)),
             reports: Some(Arc::new(GatedReports {
-                store: reports.clone(),
-                gate,
+                store: parts.reports,
+                gate: reports,
             })),
             members: None,
-            list: watch::channel(Arc::default()).1,
+            list: watch::channel(Arc::new(engine_list())).1,
             meter: meter.clone(),
             window: Duration::from_secs(10),
             gone_after: Duration::from_secs(60),
             timing: ControlTiming::default(),
-            fault,
+            fault: parts.fault,
         });
         let follower = StreamFollower::new(Arc::new(client), clock, CONTROL_STREAM, FollowLimits::default());
         let follow = tokio::spawn(follower.run(ControlSink::new(control.clone())));
@@ -223,6 +286,7 @@
             meter,
             log_gate,
             report_gate,
+            order_gate,
             tasks: [follow.abort_handle(), ticks.abort_handle()],
         }
     }
@@ -252,12 +316,14 @@
     pub fn pause(&self) {
         self.log_gate.send_replace(false);
         self.report_gate.send_replace(false);
+        self.order_gate.send_replace(false);
     }
 
     /// Ends the cut.
     pub fn resume(&self) {
         self.log_gate.send_replace(true);
         self.report_gate.send_replace(true);
+        self.order_gate.send_replace(true);
     }
 
     /// Kills the process.
--- a/marigoldlock_core/src/orders/desk.rs
+++ b/marigoldlock_core/src/orders/desk.rs
@@ -363,13 +363,12 @@
         let Some(progress) = self.progress.get_mut(&intent) else {
             return;
         };
+        let quiet_at = progress.quiet_at;
+        progress.attempt = Attempt::Lost { quiet_at };
         match answer {
             EngineAnswer::Done { upstream } => progress.outcome = Some(OrderOutcome::Done { upstream }),
             EngineAnswer::Refused => progress.outcome = Some(OrderOutcome::Refused),
-            EngineAnswer::Fenced => {
-                progress.attempt = Attempt::Absent;
-                progress.retry_at = retry_at;
-            }
+            EngineAnswer::Fenced => progress.retry_at = retry_at,
         }
     }
 
--- a/marigoldlock_core/tests/model_support/mod.rs
+++ b/marigoldlock_core/tests/model_support/mod.rs
@@ -5,7 +5,9 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+mod draft;
 pub mod intern;
+mod network;
 pub mod receiver;
 pub mod step;
 pub mod world;
--- /dev/null
+++ b/marigoldlock_core/tests/model_support/network.rs
@@ -0,0 +1,139 @@
+//! Steps of the messages to the receivers.
+
+use marigoldlock_core::orders::{EngineAnswer, LookUpAnswer};
+use marigoldlock_wire::record::authority::{AuthorityRecord, ControlRecord};
+
+use super::draft::Draft;
+use super::receiver::{Message, MessageBody, ReceiverKind, Reply};
+use super::world::{CUSTOMER, Node, World};
+
+impl Draft<'_> {
+    /// Offset behind the newest claim of the process that it has folded, whatever epoch it gave.
+    pub(super) fn claim_of(&self, node: &Node) -> u64 {
+        let log = self.space.parts.logs.get(self.world.log);
+        let folded = node
+            .process
+            .as_ref()
+            .map_or(0, |process| process.fold().next_offset());
+        let is_claim = |record: &ControlRecord| {
+            matches!(record, ControlRecord::Authority(AuthorityRecord::Claim { .. }))
+        };
+        let newest = log[..folded as usize].iter().rposition(|envelope| {
+            envelope.incarnation == node.incarnation && envelope.records.iter().any(is_claim)
+        });
+        newest.map_or(0, |offset| offset as u64 + 1)
+    }
+
+    pub(super) fn write(mut self, index: usize) -> Option<World> {
+        self.peek(index).armed.as_ref()?;
+        let mut node = self.node(index);
+        let body = node.armed.take()?;
+        let mut network = self.network();
+        network.messages.push(Message {
+            sender: index,
+            incarnation: node.incarnation,
+            claim: self.claim_of(&node),
+            body,
+            is_alive: true,
+            is_awaited: true,
+        });
+        network.messages.sort();
+        self.set_network(network);
+        self.set_node(index, node);
+        self.finish()
+    }
+
+    pub(super) fn look_up(mut self, index: usize, is_lost: bool) -> Option<World> {
+        self.peek(index).looking_up?;
+        if is_lost {
+            self.spend(|budget| &mut budget.lost_answers)?;
+        }
+        let mut node = self.node(index);
+        let intent = node.looking_up.take()?;
+        let now = node.now(self.world.time);
+        let is_there = self.network().receiver.applied.contains_key(&intent);
+        let answer = if is_there {
+            LookUpAnswer::Found { upstream: None }
+        } else {
+            LookUpAnswer::Absent
+        };
+        let answer = (!is_lost).then_some(answer);
+        node.process.as_mut()?.orders_mut().looked_up(intent, answer, now);
+        self.set_node(index, node);
+        self.finish()
+    }
+
+    pub(super) fn deliver(mut self, number: usize, is_answered: bool) -> Option<World> {
+        let mut network = self.network();
+        if number >= network.messages.len() {
+            return None;
+        }
+        let message = network.messages.remove(number);
+        if !message.is_alive || (is_answered && !message.is_awaited) {
+            return None;
+        }
+        // Without a waiting sender there is no answer to lose.
+        if !is_answered && message.is_awaited {
+            self.spend(|budget| &mut budget.lost_answers)?;
+        }
+        let kind = self.space.receiver.unwrap_or(ReceiverKind::Platform);
+        match network.receiver.take(kind, &message) {
+            Err(broken) => self.world.broken = Some(broken),
+            Ok(reply) if is_answered => self.answer(&message, Some(reply))?,
+            Ok(_) if message.is_awaited => self.answer(&message, None)?,
+            Ok(_) => {}
+        }
+        self.set_network(network);
+        self.finish()
+    }
+
+    pub(super) fn time_out(mut self, number: usize) -> Option<World> {
+        let mut network = self.network();
+        let message = network.messages.get_mut(number)?;
+        if !message.is_awaited {
+            return None;
+        }
+        if message.is_alive {
+            self.spend(|budget| &mut budget.lost_answers)?;
+        }
+        message.is_awaited = false;
+        let copy = message.clone();
+        if !copy.is_alive {
+            network.messages.remove(number);
+        }
+        self.answer(&copy, None)?;
+        self.set_network(network);
+        self.finish()
+    }
+
+    /// Tells the sender what became of its message; `None` is a lost answer.
+    pub(super) fn answer(&mut self, message: &Message, reply: Option<Reply>) -> Option<()> {
+        let mut node = self.node(message.sender);
+        if node.incarnation != message.incarnation || node.process.is_none() {
+            return Some(());
+        }
+        if node.armed.is_some() {
+            return None;
+        }
+        let now = node.now(self.world.time);
+        let process = node.process.as_mut()?;
+        match (&message.body, reply) {
+            (MessageBody::Order { intent, .. }, Some(reply)) => {
+                let answer = match reply {
+                    Reply::Done => EngineAnswer::Done { upstream: None },
+                    Reply::Fenced => EngineAnswer::Fenced,
+                };
+                process.orders_mut().answered(*intent, answer, now);
+            }
+            (MessageBody::Order { intent, .. }, None) => process.orders_mut().answer_lost(*intent, now),
+            (MessageBody::Report { window, .. }, Some(_)) => {
+                process.usage_mut().report_taken(&CUSTOMER.into(), *window);
+            }
+            (MessageBody::Report { window, .. }, None) => {
+                process.usage_mut().report_lost(&CUSTOMER.into(), *window, now);
+            }
+        }
+        self.set_node(message.sender, node);
+        Some(())
+    }
+}
