Print one line for a bad flag

Cause: a bad flag printed a location and, with RUST_BACKTRACE set, a stack. Change: both binaries print the chain of causes in one line and exit with 1.

--- a/marigoldctl/src/main.rs
+++ b/marigoldctl/src/main.rs
@@ -1,5 +1,7 @@
 //! The operators' tool as a process of its own.
 
+use std::process::ExitCode;
+
 use clap::{Parser, Subcommand};
 use eyre::Result;
 use marigoldctl::{config, customers, dev, explain, keys, load, standin, status};
@@ -32,9 +34,19 @@
     Standin(standin::StandinArgs),
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let cli = Cli::parse();
     marigoldlock::logging::init("warn");
+    match run(cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: Cli) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         match cli.command {
--- a/marigoldlock/src/main.rs
+++ b/marigoldlock/src/main.rs
@@ -1,5 +1,7 @@
 //! The entry instance as a process of its own.
 
+use std::process::ExitCode;
+
 use clap::Parser;
 use eyre::Result;
 use marigoldlock::cli::InstanceOptions;
@@ -16,13 +18,23 @@
     instance: InstanceOptions,
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let cli = Cli::parse();
     marigoldlock::logging::init("info");
-    cli.instance.check()?;
+    match run(cli.instance) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: InstanceOptions) -> Result<()> {
+    options.check()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let instance = Instance::start(cli.instance).await?;
+        let instance = Instance::start(options).await?;
         wait_for_signal().await?;
         instance.close().await;
         Ok(())
