Don't call a finished job not run while its result can't be read

Cause: a finished job's result that could not be read from the log was answered as 3009, not run. Change: 7003 instead; the test cuts the log off after the job has finished.

--- a/marigoldlock/src/front/jobs.rs
+++ b/marigoldlock/src/front/jobs.rs
@@ -149,7 +149,11 @@
     if *end != JobEnd::Answered {
         return Ok(answer(job, &status, None));
     }
-    let unreadable = || Rejection::new(ResultCode::LogUnavailable).retry_after(RETRY_AFTER);
+    // Not `LogUnavailable`, which would call the job not run.
+    let unreadable = || {
+        let message = "The job has finished; its result can't be read from the log now.";
+        Rejection::with_message(ResultCode::JobNotConfirmed, message).retry_after(RETRY_AFTER)
+    };
     let bytes = context.jobs.result(places).await.ok_or_else(unreadable)?;
     let result = serde_json::from_slice(&bytes).map_err(|_| Rejection::new(ResultCode::Internal))?;
     Ok(answer(job, &status, Some(result)))
--- a/marigoldlock/tests/jobs_outlive.rs
+++ b/marigoldlock/tests/jobs_outlive.rs
@@ -94,6 +94,9 @@
     let stranger = TestCaller::new(&fleet, "chess-club");
     let answer = look_up(&stranger, 0, &job).await.expect("an answer");
     assert_eq!(answer["error"]["code"], 7001, "{answer}");
+    fleet.log.faults().update(|plan| plan.gone = true);
+    let unread = look_up(&caller, 0, &job).await.expect("an answer");
+    assert_eq!(unread["error"]["code"], 7003, "{unread}");
     fleet.close().await;
 }
 
