--- a/marigoldlock_core/src/relay/failure.rs
+++ b/marigoldlock_core/src/relay/failure.rs
@@ -62,7 +62,9 @@
         match self {
             Self::Refused => AttemptOutcome::Refused,
             Self::TimedOut => AttemptOutcome::TimedOut,
-            Self::NotConnected | Self::ResetAfterSend | Self::Broken | Self::Crossed => AttemptOutcome::Broken,
+            Self::NotConnected | Self::ResetAfterSend | Self::Broken | Self::Crossed => {
+                AttemptOutcome::Broken
+            }
         }
     }
 
