--- a/marigoldlock_core/src/admission/policy.rs
+++ b/marigoldlock_core/src/admission/policy.rs
@@ -14,7 +14,7 @@
 const MOST_RESERVE: f64 = 0.6;
 
 /// Largest share of the slots kept for standard work, beside long work.
-const MOST_STANDARD_RESERVE: f64 = 0.3;
+const MOST_STANDARD_RESERVE: f64 = 0.6;
 
 /// Slots kept for each request of the recent peak.
 const PEAK_MARGIN: f64 = 1.25;
