--- a/marigoldctl/src/load/placing.rs
+++ b/marigoldctl/src/load/placing.rs
@@ -60,7 +60,7 @@
     let step_s = (spec.step_ms + spec.step_per_stream_ms * slots) / 1e3;
     let disturbed_ms = (step_s + spec.chunk_tokens as f64 / spec.prefill_tokens_per_s) * 1e3;
     let disturbed = if disturbed_ms > targets.standard_between_ms {
-        0.5
+        0.1
     } else {
         0.0
     };
