--- a/marigoldlock_core/src/orders/desk.rs
+++ b/marigoldlock_core/src/orders/desk.rs
@@ -352,7 +352,9 @@
         let retry_at = now + self.timing.retry_after;
         if let Some(progress) = self.progress.get_mut(&intent) {
             // An earlier write may still be unanswered, so a conclusive look-up is due again.
-            progress.attempt = Attempt::Lost { quiet_at: progress.quiet_at };
+            progress.attempt = Attempt::Lost {
+                quiet_at: progress.quiet_at,
+            };
             progress.retry_at = retry_at;
         }
     }
