Pass an engine's own error on at once

Cause: an engine that blamed the request with a 4xx counted as broken; the chat was sent four times and the engines came near ejection. Change: such an answer ends the chat with code 4004 and the engine's words; codes that nothing gives (3004, 4007) are gone from the table. Conclusion: a request that no engine can do costs one attempt.

--- a/marigoldlock/src/front/session.rs
+++ b/marigoldlock/src/front/session.rs
@@ -33,6 +33,9 @@
 /// Largest whole answer, in bytes.
 const WHOLE_ANSWER_BYTES: usize = 16 << 20;
 
+/// Most characters of an engine's own error that are passed on.
+const ERROR_CHARS: usize = 500;
+
 /// Time to come back after every upstream refused.
 const REFUSED_RETRY: Duration = Duration::from_secs(1);
 
@@ -132,6 +135,9 @@
             Ok(response) => response,
             Err(kind) => return Err(self.failed(lease, id, kind)),
         };
+        if is_own_error(response.status()) {
+            return Err(engine_error(lease, response).await);
+        }
         if let Some(kind) = refusal_kind(response.status()) {
             return Err(self.failed(lease, id, kind));
         }
@@ -262,6 +268,14 @@
         let now = self.context.now();
         let (id, kind) = match failure {
             Failure::NoRoute(refusal) => return Err(self.give_up(refusal.code())),
+            Failure::Answered(message) => {
+                let rejection = self.give_up(ResultCode::UpstreamFailed);
+                return Err(Rejection {
+                    message,
+                    retry_after: None,
+                    ..rejection
+                });
+            }
             Failure::Attempt { id, kind } => (id, kind),
         };
         if now >= self.deadline {
@@ -382,6 +396,8 @@
 enum Failure {
     /// No upstream can take another attempt.
     NoRoute(RouteRefusal),
+    /// The engine answered that it can't do what is asked; another one would say the same.
+    Answered(String),
     /// The attempt failed.
     Attempt { id: AttemptId, kind: FailureKind },
 }
@@ -407,6 +423,22 @@
     }
 }
 
+/// True for an answer that blames the request.
+fn is_own_error(status: StatusCode) -> bool {
+    status.is_client_error()
+        && status != StatusCode::TOO_MANY_REQUESTS
+        && status != StatusCode::REQUEST_TIMEOUT
+}
+
+/// Passes the engine's own words on.
+async fn engine_error(lease: AttemptLease, response: reqwest::Response) -> Failure {
+    let status = response.status();
+    let text = response.text().await.unwrap_or_default();
+    lease.close(AttemptOutcome::Answered);
+    let words: String = text.chars().take(ERROR_CHARS).collect();
+    Failure::Answered(format!("The engine answered {status}: {words}"))
+}
+
 /// How an error status of an engine counts; any other answer is read.
 fn refusal_kind(status: StatusCode) -> Option<FailureKind> {
     match status {
--- a/marigoldlock/tests/streams.rs
+++ b/marigoldlock/tests/streams.rs
@@ -253,6 +253,26 @@
     fleet.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_cannot_do_what_is_asked_is_asked_once_and_its_words_passed_on() {
+    let mut options = FleetOptions::small(1);
+    options.engine.context_tokens = 100;
+    let fleet = Fleet::start(options).await.expect("the fleet starts");
+    let caller = TestCaller::new(&fleet, "dairy-north");
+
+    let chat = caller.stream_chat(0, PROMPT, 2_000).await;
+
+    assert_eq!(chat.status, StatusCode::BAD_GATEWAY, "{}", chat.body);
+    assert!(chat.body.contains("\"code\":4004"), "{}", chat.body);
+    let seen = engines(&fleet)
+        .iter()
+        .filter_map(|id| fleet.host.engine_seen(id))
+        .map(|seen| seen.requests)
+        .sum::<u64>();
+    assert_eq!(seen, 1);
+    fleet.close().await;
+}
+
 /// Asks for a long stream over a connection with a small window, and reads nothing of it.
 async fn unread_stream(fleet: &Fleet, caller: &TestCaller, tokens: u64) -> tokio::net::TcpStream {
     let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
--- a/marigoldlock_wire/src/code.rs
+++ b/marigoldlock_wire/src/code.rs
@@ -102,7 +102,6 @@
     3001 CustomerLimit 429 NotRun "The customer is at its limit for the service.";
     3002 QueueFull 503 NotRun "The service's queue is full.";
     3003 DeadlineUnreachable 503 NotRun "The request can't be answered before its deadline.";
-    3004 TooManyStreams 429 NotRun "The customer has too many streams open.";
     3005 NoUpstream 503 NotRun "No upstream of the service can take the request now.";
     3006 InstanceLeaving 503 NotRun "The instance is shutting down; use another address.";
     3007 NotReady 503 NotRun "The instance has not reached the current settings yet.";
@@ -116,7 +115,6 @@
     4004 UpstreamFailed 502 Ran "The upstream answered with an error of its own.";
     4005 StillRunning 409 Unknown "A call with the same Idempotency-Key is still running.";
     4006 AnswerNotKept 410 Ran "The call ran; its answer was too large or too old to be kept.";
-    4007 SlowReader 502 Ran "The caller read its answer too slowly.";
     4008 ClaimUnconfirmed 504 Unknown "The instance can't look the Idempotency-Key up now; an earlier request with the key may have run.";
     5001 Internal 500 Unknown "The instance failed in a way that it does not explain.";
     6001 InvalidSettings 422 NotRun "The change does not pass the settings check.";
