Say outcome_unknown in the body too

Cause: the JSON body of a refusal said "unknown" where the header and docs/RESULT-CODES.md say "outcome_unknown"; seen in a trial of the tests with processes. Change: the body takes the header's text; the tests' callers compare both in every refusal. Conclusion: header and body agree.

--- a/marigoldlock/src/front/reject.rs
+++ b/marigoldlock/src/front/reject.rs
@@ -63,7 +63,7 @@
                 code: self.code.number(),
                 name: self.code.name(),
                 message: &self.message,
-                execution: self.code.execution(),
+                execution: execution_text(self.code.execution()),
                 retry_after_ms: self.retry_after.map(|wait| wait.as_millis() as u64),
             },
         }
@@ -81,7 +81,7 @@
     code: u16,
     name: &'static str,
     message: &'a str,
-    execution: Execution,
+    execution: &'static str,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
 }
--- a/marigoldlock/tests/support/mod.rs
+++ b/marigoldlock/tests/support/mod.rs
@@ -166,13 +166,18 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned)
     };
-    Ok(CallResult {
+    let result = CallResult {
         status: response.status(),
         code: header("x-result-code").and_then(|code| code.parse().ok()),
         execution: header("x-execution"),
         retry_after: header("retry-after").and_then(|wait| wait.parse().ok()),
         body: response.text().await?,
-    })
+    };
+    if let Some(execution) = &result.execution {
+        let body: Value = serde_json::from_str(&result.body).expect("a rejection in JSON");
+        assert_eq!(body["error"]["execution"], execution.as_str(), "header and body");
+    }
+    Ok(result)
 }
 
 pub async fn read_stream(response: Response) -> StreamedChat {
