End an order's write within its lifetime

Cause: an order could be written for up to the request timeout (2 s) and the kernel's user timeout (3 s) after the check, while the waits after a takeover rest on a lifetime of 2 s; found in review by the control slice's author. Change: orders and reports use 1 s and 0.8 s; one constant states the lifetime and the build fails if the timeouts exceed it. Ruled out: a longer lifetime of 6 s, which would lengthen every takeover and graceful shutdown by 4 s. Conclusion: the bound that the model assumes holds in the shell, but for a receiver that is itself stopped with the bytes in its buffer.

--- a/marigoldlock/src/control/clients.rs
+++ b/marigoldlock/src/control/clients.rs
@@ -4,16 +4,22 @@
 
 use async_trait::async_trait;
 use marigoldlock_core::orders::{EngineAnswer, LookUpAnswer};
+use marigoldlock_core::time::ORDER_LIFETIME;
 use marigoldlock_wire::engine::EngineOrder;
 use marigoldlock_wire::platform::{OrderAnswer, UpstreamOrder, UsageReport};
 use reqwest::StatusCode;
 use serde::Serialize;
 
-use crate::platform::platform_client;
+use crate::platform::client_with_user_timeout;
 
-/// Longest wait for the answer to an order or report; with the kernel's user timeout of three seconds it
-/// stays below the order lifetime.
-const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the answer to an order or report.
+const SEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest time the kernel keeps an order's bytes after the last acknowledgement.
+const SEND_USER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What a partition held back must be dropped before another process may act.
+const _: () = assert!(SEND_TIMEOUT.as_millis() + SEND_USER_TIMEOUT.as_millis() <= ORDER_LIFETIME.as_millis());
 
 /// What became of a send.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -58,7 +64,7 @@
     pub fn new(platform_url: Option<&str>) -> Self {
         let platform_url = platform_url.map(|url| url.trim_end_matches('/').to_owned());
         Self {
-            http: platform_client(),
+            http: client_with_user_timeout(SEND_USER_TIMEOUT),
             platform_url,
         }
     }
@@ -135,7 +141,7 @@
     pub fn new(base_url: &str) -> Self {
         let url = format!("{}/v1/usage", base_url.trim_end_matches('/'));
         Self {
-            http: platform_client(),
+            http: client_with_user_timeout(SEND_USER_TIMEOUT),
             url,
         }
     }
--- a/marigoldlock/src/platform/mod.rs
+++ b/marigoldlock/src/platform/mod.rs
@@ -26,10 +26,19 @@
 ///
 /// Panics if the HTTP library can't start, which needs no outside condition.
 pub fn platform_client() -> reqwest::Client {
+    client_with_user_timeout(USER_TIMEOUT)
+}
+
+/// HTTP client whose connections the kernel ends after `user_timeout` without an acknowledgement.
+///
+/// # Panics
+///
+/// As [`platform_client`].
+pub fn client_with_user_timeout(user_timeout: Duration) -> reqwest::Client {
     reqwest::Client::builder()
         .no_proxy()
         .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_user_timeout(USER_TIMEOUT)
+        .tcp_user_timeout(user_timeout)
         .tcp_nodelay(true)
         .redirect(reqwest::redirect::Policy::none())
         .build()
--- a/marigoldlock_core/src/authority/holder.rs
+++ b/marigoldlock_core/src/authority/holder.rs
@@ -12,6 +12,7 @@
 
 use super::{AuthorityFold, DutyHead, Fault};
 use crate::prelude::*;
+use crate::time::ORDER_LIFETIME;
 
 /// Durations that all processes share.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -36,7 +37,7 @@
             lease: Duration::from_secs(6),
             renew_every: Duration::from_secs(2),
             drift_margin: Duration::from_millis(500),
-            order_lifetime: Duration::from_secs(2),
+            order_lifetime: ORDER_LIFETIME,
             rank_delay: Duration::from_secs(1),
             rebalance_after: Duration::from_secs(60),
         }
--- a/marigoldlock_core/src/orders/desk.rs
+++ b/marigoldlock_core/src/orders/desk.rs
@@ -9,6 +9,7 @@
 use super::{OrderBook, OutstandingOrder};
 use crate::authority::{DutyAuthority, Fault};
 use crate::prelude::*;
+use crate::time::ORDER_LIFETIME;
 
 /// Durations of the orders duty.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -24,7 +25,7 @@
 impl Default for OrderTiming {
     fn default() -> Self {
         Self {
-            order_lifetime: Duration::from_secs(2),
+            order_lifetime: ORDER_LIFETIME,
             retry_after: Duration::from_millis(500),
             replace_after: Duration::from_secs(180),
         }
--- a/marigoldlock_core/src/time.rs
+++ b/marigoldlock_core/src/time.rs
@@ -3,6 +3,11 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
+/// Longest time from the write of an order or report to its arrival at the receiver.
+///
+/// The shell's timeouts must end a write within it; the waits after a takeover rest on it.
+pub const ORDER_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Point on a monotonic clock that also runs while the machine sleeps.
 ///
 /// Points of different processes can't be compared.
--- a/marigoldlock_core/src/usage/desk.rs
+++ b/marigoldlock_core/src/usage/desk.rs
@@ -11,6 +11,7 @@
 use crate::authority::Fault;
 use crate::orders::AuthorityView;
 use crate::prelude::*;
+use crate::time::ORDER_LIFETIME;
 
 /// Durations of the usage duty.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -25,7 +26,7 @@
     fn default() -> Self {
         Self {
             retry_after: Duration::from_secs(1),
-            order_lifetime: Duration::from_secs(2),
+            order_lifetime: ORDER_LIFETIME,
         }
     }
 }
