--- a/marigoldctl/src/standin/args/engine.rs
+++ b/marigoldctl/src/standin/args/engine.rs
@@ -52,7 +52,7 @@
     /// Room for running requests and cached prefixes, in tokens.
     #[arg(long, default_value_t = 200_000)]
     kv_total_tokens: u64,
-    /// Model loaded from the start; may be repeated [default: every model is served].
+    /// Model loaded from the start; may be repeated [default: none is reported, so instances route nothing to it].
     #[arg(long)]
     model: Vec<ModelId>,
     /// Role from the start.
--- a/marigoldctl/src/status.rs
+++ b/marigoldctl/src/status.rs
@@ -20,10 +20,10 @@
 #[derive(Args, Clone, Debug)]
 pub struct StatusArgs {
     /// URL of any instance; the others are found through it.
-    #[arg(long, env = "MARIGOLDLOCK_INSTANCE")]
+    #[arg(long, env = "MARIGOLDCTL_INSTANCE")]
     instance: String,
     /// Operator's token.
-    #[arg(long, env = "MARIGOLDLOCK_TOKEN", hide_env_values = true)]
+    #[arg(long, env = "MARIGOLDCTL_TOKEN", hide_env_values = true)]
     token: String,
     /// Print JSON.
     #[arg(long)]
--- a/marigoldctl/tests/status.rs
+++ b/marigoldctl/tests/status.rs
@@ -4,6 +4,7 @@
 use marigoldctl::status::read_fleet;
 use marigoldlock_fleet::{ADMIN_TOKEN, Fleet, FleetOptions, wait_until};
 use serde_json::{Value, json};
+use std::process::Command;
 use std::time::Duration;
 
 async fn findings_at(fleet: &Fleet, index: usize) -> Vec<String> {
@@ -61,3 +62,25 @@
         "{text}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_takes_the_same_environment_variables_as_the_settings_commands() {
+    let fleet = Fleet::start(FleetOptions::small(1))
+        .await
+        .expect("the fleet starts");
+    let url = fleet.instances[0].url("");
+
+    let output = tokio::task::spawn_blocking(move || {
+        Command::new(env!("CARGO_BIN_EXE_marigoldctl"))
+            .arg("status")
+            .env("MARIGOLDCTL_INSTANCE", url)
+            .env("MARIGOLDCTL_TOKEN", ADMIN_TOKEN)
+            .output()
+    })
+    .await
+    .expect("no panic")
+    .expect("the tool's own binary starts");
+
+    assert!(output.status.success(), "{output:?}");
+    fleet.close().await;
+}
