Split the instance's start into files

Change: the actors and log followers are started in instance/parts.rs, peers' requests served in instance/handler.rs; no behaviour changes.

--- a/marigoldlock/src/instance.rs
+++ b/marigoldlock/src/instance.rs
@@ -1,51 +1,32 @@
 //! One running entry instance.
 
+mod handler;
+mod parts;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
 
-use async_trait::async_trait;
 use eyre::{Result, bail};
-use kameo::actor::{ActorRef, Spawn as _};
 use log::{info, warn};
-use marigoldlock_core::admission::{AdmissionControl, AdmissionParams};
 use marigoldlock_core::keys::FreshnessVerdict;
-use marigoldlock_core::membership::{MemberLimits, OwnIdentity};
-use marigoldlock_core::routing::{ExpectedCost, RouteParams, RouteTable};
-use marigoldlock_core::settings::SpreadMember;
-use marigoldlock_wire::peer::{PeerRequest, PeerResponse};
 use marigoldlock_wire::platform::InstanceList;
 use marigoldlock_wire::prelude::*;
-use marigoldlock_wire::record::{CALLS_STREAM, JOBS_STREAM};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
+use self::handler::InstanceHandler;
+use self::parts::{InstanceParts, spawn};
 use crate::admin::{AdminContext, admin_router};
-use crate::calls::{CallRunner, CallService, CallsSink, HomeHandle, PlainHandle};
 use crate::cli::InstanceOptions;
 use crate::clock::{BootClock, TimeSource};
-use crate::control::{ControlHandle, ControlParts, start_control};
-use crate::dispatch::{DispatchActor, DispatchHandle, DispatchSources};
-use crate::front::{
-    ChatJobs, ConnectionLimits, FrontContext, FrontLimits, FrontParts, FrontServer, front_router,
-    serve_forwarded,
-};
-use crate::jobs::{JobHandle, JobsSink};
-use crate::log_stream::{FollowLimits, RecordWriter, StreamFollower, WriterLimits};
-use crate::members::{
-    HeartbeatExchange, MemberHandle, MemberSources, OwnAddresses, ReportPace, poll_list, poll_upstreams,
-};
-use crate::peer::{PeerHandler, PeerPool, PeerServer};
-use crate::placing::{PlacementPlanner, PlannerParts};
+use crate::control::ControlHandle;
+use crate::front::{ConnectionLimits, FrontContext, FrontServer, front_router};
+use crate::members::{HeartbeatExchange, OwnAddresses, ReportPace, poll_list, poll_upstreams};
+use crate::peer::PeerServer;
 use crate::platform::{HttpListClient, HttpLogClient, ListClient, LogClient};
-use crate::settings::{
-    NetworkPeers, SettingsActor, SettingsFollower, SettingsHandle, SettingsServer, SettingsState,
-    SnapshotWriter,
-};
-use crate::upstream::UpstreamClient;
-use crate::usage::UsageMeter;
+use crate::settings::SettingsServer;
 
 /// Longest wait for running peer requests at shutdown.
 const PEER_DRAIN: Duration = Duration::from_secs(5);
@@ -208,10 +189,6 @@
     }
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
-    tokio::spawn(task).abort_handle()
-}
-
 fn own_addresses(
     options: &InstanceOptions,
     clock: &dyn TimeSource,
@@ -263,256 +240,6 @@
     }
 }
 
-/// The actors and what the handlers share.
-struct InstanceParts {
-    context: Arc<FrontContext>,
-    exchange: Arc<HeartbeatExchange>,
-    dispatch: DispatchHandle,
-    members: MemberHandle,
-    tasks: Vec<AbortHandle>,
-}
-
-impl InstanceParts {
-    fn build(
-        options: &InstanceOptions,
-        own: &OwnAddresses,
-        log: Arc<dyn LogClient>,
-        clock: Arc<dyn TimeSource>,
-        list: &watch::Receiver<Arc<InstanceList>>,
-    ) -> Self {
-        let (settings, settings_actor) = start_settings();
-        let dispatch = start_dispatch(&clock, own);
-        let identity = OwnIdentity {
-            instance: own.instance.clone(),
-            incarnation: own.incarnation,
-            data_centre: own.data_centre.clone(),
-        };
-        let limits = MemberLimits::default();
-        let members = MemberHandle::start(MemberSources {
-            own: identity,
-            clock: Arc::clone(&clock),
-            limits,
-        });
-        let home = HomeHandle::start(own.incarnation, Arc::clone(&clock));
-        let (plain, call_tasks) = start_plain(own, &log, &clock);
-        let (jobs, job_tasks) = start_jobs(own, &log, &clock);
-        let peers = PeerPool::default();
-        let upstreams = UpstreamClient::default();
-        let leaving = Arc::new(AtomicBool::new(false));
-        let runner = CallRunner {
-            dispatch: dispatch.clone(),
-            upstreams: upstreams.clone(),
-            clock: Arc::clone(&clock),
-        };
-        let calls = CallService {
-            home: home.clone(),
-            plain: plain.clone(),
-            runner,
-            members: members.clone(),
-            peers: peers.clone(),
-            tracker: TaskTracker::new(),
-        };
-        let meter = UsageMeter::default();
-        let (control, control_tasks) = start_control(ControlParts {
-            options,
-            own,
-            log: Arc::clone(&log),
-            clock: Arc::clone(&clock),
-            members: members.clone(),
-            list: list.clone(),
-            meter: meter.clone(),
-        });
-        let planner = PlacementPlanner::new(PlannerParts {
-            incarnation: own.incarnation,
-            clock: Arc::clone(&clock),
-            settings: settings.clone(),
-            dispatch: dispatch.clone(),
-            control: control.clone(),
-            scales: options.ordering_url.is_some(),
-        });
-        let exchange = Arc::new(HeartbeatExchange {
-            own: own.clone(),
-            clock: Arc::clone(&clock),
-            members: members.clone(),
-            dispatch: dispatch.clone(),
-            list: list.clone(),
-            settings: settings.clone(),
-            settings_actor,
-            home,
-            plain,
-            control,
-            peers,
-            leaving: Arc::clone(&leaving),
-            sequence: AtomicU64::new(0),
-        });
-        let mut tasks = Vec::from(follow_settings(own, log, &exchange));
-        tasks.extend(call_tasks);
-        tasks.extend(control_tasks);
-        tasks.push(spawn(planner.run()));
-        tasks.extend(job_tasks);
-        let context = FrontContext::new(FrontParts {
-            name: own.instance.clone(),
-            incarnation: own.incarnation,
-            data_centre: own.data_centre.clone(),
-            address: own.address.clone(),
-            clock,
-            settings,
-            dispatch: dispatch.clone(),
-            members: members.clone(),
-            upstreams,
-            calls,
-            jobs,
-            usage: meter,
-            limits: FrontLimits {
-                send_silence: options.send_timeout(),
-            },
-            leaving,
-        });
-        let context = Arc::new(context);
-        tasks.push(run_jobs(&context, members.clone(), options.heartbeat()));
-        Self {
-            context,
-            exchange,
-            dispatch,
-            members,
-            tasks,
-        }
-    }
-}
-
-/// Starts what claims plain keys, and the tasks that write and follow the calls stream.
-fn start_plain(
-    own: &OwnAddresses,
-    log: &Arc<dyn LogClient>,
-    clock: &Arc<dyn TimeSource>,
-) -> (PlainHandle, [AbortHandle; 2]) {
-    let (writer, write) = RecordWriter::new(
-        Arc::clone(log),
-        CALLS_STREAM,
-        own.instance.clone(),
-        own.incarnation,
-        WriterLimits::default(),
-    );
-    let plain = PlainHandle::start(own.incarnation, Arc::clone(clock), writer);
-    let follower = StreamFollower::new(
-        Arc::clone(log),
-        Arc::clone(clock),
-        CALLS_STREAM,
-        FollowLimits::default(),
-    );
-    let follow = follower.run(CallsSink::new(plain.clone()));
-    (plain, [spawn(write), spawn(follow)])
-}
-
-/// Starts what knows the jobs, and the tasks that write and follow their stream.
-fn start_jobs(
-    own: &OwnAddresses,
-    log: &Arc<dyn LogClient>,
-    clock: &Arc<dyn TimeSource>,
-) -> (JobHandle, [AbortHandle; 2]) {
-    let (writer, write) = RecordWriter::new(
-        Arc::clone(log),
-        JOBS_STREAM,
-        own.instance.clone(),
-        own.incarnation,
-        WriterLimits::default(),
-    );
-    let jobs = JobHandle::start(own.incarnation, Arc::clone(clock), Arc::clone(log), writer);
-    let follower = StreamFollower::new(
-        Arc::clone(log),
-        Arc::clone(clock),
-        JOBS_STREAM,
-        FollowLimits::default(),
-    );
-    let follow = follower.run(JobsSink::new(jobs.clone()));
-    (jobs, [spawn(write), spawn(follow)])
-}
-
-/// Claims and runs jobs.
-fn run_jobs(context: &Arc<FrontContext>, members: MemberHandle, interval: Duration) -> AbortHandle {
-    let work = Arc::new(ChatJobs(Arc::clone(context)));
-    let jobs = context.jobs.clone();
-    let leaving = Arc::clone(context);
-    spawn(jobs.run(work, members, interval, move || leaving.is_leaving()))
-}
-
-fn start_settings() -> (SettingsHandle, ActorRef<SettingsActor>) {
-    let (sender, receiver) = watch::channel(SettingsState::default());
-    let actor = SettingsActor::spawn_with_mailbox(sender, kameo::mailbox::unbounded());
-    (SettingsHandle::new(receiver), actor)
-}
-
-/// Follows the settings and keeps their snapshots young.
-fn follow_settings(
-    own: &OwnAddresses,
-    log: Arc<dyn LogClient>,
-    exchange: &HeartbeatExchange,
-) -> [AbortHandle; 2] {
-    let peers = Arc::new(NetworkPeers::new(
-        exchange.members.clone(),
-        exchange.peers.clone(),
-    ));
-    let follower = SettingsFollower {
-        log: Arc::clone(&log),
-        peers: peers.clone(),
-        clock: Arc::clone(&exchange.clock),
-        handle: exchange.settings.clone(),
-        actor: exchange.settings_actor.clone(),
-        own: SpreadMember {
-            instance: own.instance.clone(),
-            data_centre: own.data_centre.clone(),
-        },
-    };
-    let writer = SnapshotWriter {
-        log,
-        peers,
-        clock: Arc::clone(&exchange.clock),
-        handle: exchange.settings.clone(),
-        actor: exchange.settings_actor.clone(),
-        instance: own.instance.clone(),
-        incarnation: own.incarnation,
-    };
-    [spawn(follower.run()), spawn(writer.run())]
-}
-
-fn start_dispatch(clock: &Arc<dyn TimeSource>, own: &OwnAddresses) -> DispatchHandle {
-    let policy = Box::new(ExpectedCost::new(rand::random()));
-    let sources = DispatchSources {
-        table: RouteTable::new(RouteParams::default(), policy),
-        admission: AdmissionControl::new(AdmissionParams::default()),
-        clock: Arc::clone(clock),
-        instance: own.instance.clone(),
-        data_centre: own.data_centre.clone(),
-    };
-    DispatchHandle::new(DispatchActor::spawn_with_mailbox(
-        sources,
-        kameo::mailbox::unbounded(),
-    ))
-}
-
-/// Serves the requests of peers.
-struct InstanceHandler {
-    context: Arc<FrontContext>,
-    exchange: Arc<HeartbeatExchange>,
-    settings: SettingsServer,
-}
-
-#[async_trait]
-impl PeerHandler for InstanceHandler {
-    async fn handle(&self, request: PeerRequest) -> PeerResponse {
-        match request {
-            PeerRequest::Heartbeat(heartbeat) => self.exchange.answer(*heartbeat).await,
-            PeerRequest::FetchSettings { after, wait_ms } => {
-                let wait = Duration::from_millis(wait_ms);
-                PeerResponse::Settings(self.settings.answer(after, wait).await)
-            }
-            PeerRequest::ForwardCall(call) => {
-                PeerResponse::Call(Box::new(serve_forwarded(&self.context, *call).await))
-            }
-        }
-    }
-}
-
 /// Waits for the signals that ask a process to end.
 ///
 /// # Errors
