--- a/marigoldctl/src/load/control.rs
+++ b/marigoldctl/src/load/control.rs
@@ -32,7 +32,7 @@
             let report = target.engine.report(entry.report_lag_ms as u64);
             let events = target.engine.cache_events(target.next_event);
             target.next_event = events.next;
-            let lost = report.sequence % LOST_EVENTS == 0;
+            let lost = report.sequence.is_multiple_of(LOST_EVENTS);
             let events = if lost {
                 CacheEvents {
                     next: 0,
