Wait on an engine that makes progress for others

Cause: a prompt that queued at a busy engine for longer than the time without progress counted as lost and was sent again, which adds load where there is least room. Change: before the first token an attempt is given up only if its whole upstream is silent, or after 60 s; the kernel probes upstream connections after 3 s, so that one that went silent for good is still found. Engines get a priority by class and prompt length. Status names a service whose engines have no model; first-token times, chats and tokens are metrics. Ruled out: the same rule between tokens: a stream that stops midway at a running engine is stuck, not queued. Conclusion: queued work is no longer multiplied.

--- a/marigoldctl/src/status/findings.rs
+++ b/marigoldctl/src/status/findings.rs
@@ -36,6 +36,7 @@
     versions(fleet, &mut found);
     queues(fleet, &mut found);
     upstreams(fleet, &mut found);
+    models(fleet, &mut found);
     found
 }
 
@@ -132,3 +133,29 @@
         }
     }
 }
+
+/// An engine without a model takes no chat, although its slots count.
+fn models(fleet: &FleetStatus, found: &mut Vec<Finding>) {
+    let Some(status) = fleet.instances.first() else {
+        return;
+    };
+    for queue in &status.queues {
+        let of_service = status
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.service == queue.service);
+        let mut engines = of_service
+            .filter(|upstream| upstream.is_engine && !upstream.leaving)
+            .peekable();
+        if engines.peek().is_some() && engines.all(|engine| engine.models.is_empty()) {
+            let what = format!(
+                "no engine of {} has loaded a model; its chats are refused with 3005",
+                queue.service
+            );
+            found.push(Finding::new(
+                what,
+                "load a model at the engines, or check what their load reports say",
+            ));
+        }
+    }
+}
--- a/marigoldlock/src/dispatch/lease.rs
+++ b/marigoldlock/src/dispatch/lease.rs
@@ -13,7 +13,7 @@
 
 use super::actor::{AttemptKey, Choose, DispatchActor, FinishAttempt, NoteFirstToken, NoteProgress};
 use super::admit::{AdmissionRefusal, Admit, AdmitPermit, CustomerTerms};
-use super::status::{ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
+use super::status::{AskSilence, ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
 use super::work::WorkItem;
 
 /// Way to the dispatch actor.
@@ -129,6 +129,12 @@
             .unwrap_or_default()
     }
 
+    /// How long an upstream has made no progress with work of this instance; one that is gone is silent.
+    pub async fn silence(&self, upstream: &UpstreamId) -> Duration {
+        let silence = self.actor.ask(AskSilence(upstream.clone())).await.ok().flatten();
+        silence.unwrap_or(Duration::MAX)
+    }
+
     /// The actor itself.
     pub fn actor(&self) -> &ActorRef<DispatchActor> {
         &self.actor
--- a/marigoldlock/src/dispatch/mod.rs
+++ b/marigoldlock/src/dispatch/mod.rs
@@ -18,5 +18,5 @@
 pub use demand::{AskPlanning, InstanceDemand, PlanningView};
 pub use lease::{AttemptLease, DispatchHandle};
 pub use peers::{LoadSummary, OwnLoad, RemovePeer, UpdatePeer};
-pub use status::{ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
+pub use status::{AskSilence, ListQueues, ListUpstreams, QueueStatus, UpstreamStatus};
 pub use work::WorkItem;
--- a/marigoldlock/src/dispatch/status.rs
+++ b/marigoldlock/src/dispatch/status.rs
@@ -1,6 +1,9 @@
 //! Upstreams and queues, for the status page.
 
+use std::time::Duration;
+
 use kameo::message::{Context, Message};
+use marigoldlock_core::routing::UpstreamKind;
 use marigoldlock_wire::engine::EngineRole;
 use marigoldlock_wire::platform::CapacityKind;
 use marigoldlock_wire::prelude::*;
@@ -19,6 +22,10 @@
     pub data_centre: DataCentre,
     /// Address.
     pub address: String,
+    /// True for a model engine.
+    pub is_engine: bool,
+    /// Models loaded, as last reported.
+    pub models: Vec<ModelId>,
     /// How it is paid for.
     pub capacity: CapacityKind,
     /// Role, for engines.
@@ -53,6 +60,8 @@
                 service: state.facts().service.clone(),
                 data_centre: state.facts().data_centre.clone(),
                 address: state.facts().address.clone(),
+                is_engine: state.facts().kind == UpstreamKind::Engine,
+                models: state.facts().models.clone(),
                 capacity: state.facts().capacity,
                 role: state.role(),
                 leaving: state.is_leaving(),
@@ -112,3 +121,15 @@
         QueueList(queues.collect())
     }
 }
+
+/// Asks how long an upstream with work of this instance has made no progress.
+pub struct AskSilence(pub UpstreamId);
+
+impl Message<AskSilence> for DispatchActor {
+    type Reply = Option<Duration>;
+
+    async fn handle(&mut self, ask: AskSilence, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        self.table.state(&ask.0).map(|state| state.silence(now))
+    }
+}
--- a/marigoldlock/src/front/session.rs
+++ b/marigoldlock/src/front/session.rs
@@ -13,7 +13,7 @@
     Attempt, AttemptId, BreakStep, FailureKind, ProgressLimits, RelayLimits, RelayStep, StreamRelay,
     StreamTotals, WholeBody,
 };
-use marigoldlock_core::routing::{AttemptOutcome, RouteRefusal};
+use marigoldlock_core::routing::{AttemptOutcome, RouteRefusal, engine_priority};
 use marigoldlock_core::settings::ServiceSettings;
 use marigoldlock_core::time::MonoTime;
 use marigoldlock_wire::engine::{ChatUsage, PRIORITY_HEADER};
@@ -39,6 +39,12 @@
 /// Time to come back after every upstream refused.
 const REFUSED_RETRY: Duration = Duration::from_secs(1);
 
+/// Longest wait for the first token of an attempt at an engine that makes progress for others.
+const SLOW_LIMIT: Duration = Duration::from_secs(60);
+
+/// Looks at a slow engine within the time without progress.
+const SLOW_LOOKS: u32 = 4;
+
 /// Blocks between two notes of progress to routing.
 const PROGRESS_BLOCKS: u32 = 64;
 
@@ -59,6 +65,9 @@
     relay: StreamRelay,
     deadline: MonoTime,
     open: Option<OpenAttempt>,
+    started: MonoTime,
+    attempt_sent: MonoTime,
+    extended: Option<MonoTime>,
     tried: Vec<UpstreamId>,
     may_have_run: bool,
     pending: Vec<Bytes>,
@@ -69,7 +78,8 @@
 impl ChatSession {
     /// Waits for the chat's turn.
     pub(super) async fn start(context: Arc<FrontContext>, work: ChatWork) -> Result<Self, Rejection> {
-        let deadline = context.now() + work.target.patience;
+        let started = context.now();
+        let deadline = started + work.target.patience;
         let terms = work.target.terms();
         let admitted = context.dispatch.admit(&work.item, terms, deadline).await;
         let (permit, lease) =
@@ -77,6 +87,7 @@
         let limits = relay_limits(&work.target.service);
         let relay = StreamRelay::new(work.item.request, limits);
         Ok(Self {
+            started,
             context,
             work,
             permit: Some(permit),
@@ -84,6 +95,8 @@
             relay,
             deadline,
             open: None,
+            attempt_sent: MonoTime::ZERO,
+            extended: None,
             tried: Vec::new(),
             may_have_run: false,
             pending: Vec::new(),
@@ -184,7 +197,8 @@
             }
         };
         let mut headers = self.work.headers.clone();
-        let priority = HeaderValue::from(self.work.item.class.index());
+        let item = &self.work.item;
+        let priority = HeaderValue::from(u16::from(engine_priority(item.class, item.prompt_tokens)));
         headers.insert(HeaderName::from_static(PRIORITY_HEADER), priority);
         let call = UpstreamCall {
             address: &lease.decision().address,
@@ -203,7 +217,9 @@
             attempt: attempt.id,
         };
         mover.prepare(lease.decision()).await;
-        self.relay.on_sent(attempt.id, self.context.now());
+        self.attempt_sent = self.context.now();
+        self.extended = None;
+        self.relay.on_sent(attempt.id, self.attempt_sent);
         let wait = self.time_left();
         let sent = self.context.upstreams.send_repeatable(call);
         tokio::time::timeout(wait, sent)
@@ -215,12 +231,33 @@
     fn time_left(&self) -> Duration {
         let now = self.context.now();
         let phase = self.relay.deadline().unwrap_or(self.deadline);
+        let phase = self.extended.map_or(phase, |extended| extended.max(phase));
         phase.min(self.deadline).since(now)
     }
 
+    /// Allows more time to the first token while the upstream makes progress for others.
+    ///
+    /// A prompt that waits behind others at a busy engine is not lost; sending it elsewhere would add to the load.
+    async fn extend_wait(&mut self, lease: &AttemptLease) -> bool {
+        let now = self.context.now();
+        if now >= self.deadline || now.since(self.attempt_sent) >= SLOW_LIMIT {
+            return false;
+        }
+        let progress = Duration::from_millis(self.work.target.service.progress_timeout_ms);
+        if self.context.dispatch.silence(&lease.decision().upstream).await >= progress {
+            return false;
+        }
+        self.extended = Some(now + progress / SLOW_LOOKS);
+        true
+    }
+
     async fn read(&mut self, mut open: OpenAttempt) -> Option<Failure> {
         let wait = self.time_left();
         let chunk = match tokio::time::timeout(wait, open.body.next()).await {
+            Err(_) if open.blocks == 0 && self.extend_wait(&open.lease).await => {
+                self.open = Some(open);
+                return None;
+            }
             Err(_) => return Some(self.failed(open.lease, open.id, self.relay.timeout_kind())),
             Ok(None) => return Some(self.failed(open.lease, open.id, FailureKind::Broken)),
             Ok(Some(Err(err))) => {
@@ -243,6 +280,9 @@
                 None
             }
             RelayStep::Continue | RelayStep::Stale => {
+                if open.blocks == 0 {
+                    self.note_first_token();
+                }
                 note_progress(&mut open);
                 self.open = Some(open);
                 None
@@ -250,6 +290,12 @@
         }
     }
 
+    fn note_first_token(&self) {
+        let waited = self.context.now().since(self.started).as_secs_f64();
+        let service = self.work.item.service.to_string();
+        metrics::histogram!("marigoldlock_first_token_seconds", "service" => service).record(waited);
+    }
+
     fn failed(&mut self, lease: AttemptLease, id: AttemptId, kind: FailureKind) -> Failure {
         let upstream = lease.decision().upstream.clone();
         info!(
@@ -327,6 +373,9 @@
         if let Some(permit) = self.permit.take() {
             permit.close(work);
         }
+        let service = self.work.item.service.to_string();
+        metrics::counter!("marigoldlock_chats_total", "service" => service.clone()).increment(1);
+        metrics::counter!("marigoldlock_output_tokens_total", "service" => service).increment(output_tokens);
         let served = output_tokens > 0;
         if let (true, Some(customer)) = (served, &self.work.item.customer) {
             self.context.usage.record(
--- a/marigoldlock/src/upstream/mod.rs
+++ b/marigoldlock/src/upstream/mod.rs
@@ -19,6 +19,12 @@
 /// Longest time the kernel keeps sent and unacknowledged bytes.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Idle time before the kernel probes a connection, so that one which went silent for good is told from a slow one.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Idle time after which a kept connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -85,6 +91,8 @@
         .no_proxy()
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_user_timeout(USER_TIMEOUT)
+        .tcp_keepalive(KEEPALIVE_IDLE)
+        .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
         .tcp_nodelay(true)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(idle_connections)
--- a/marigoldlock/tests/streams.rs
+++ b/marigoldlock/tests/streams.rs
@@ -253,6 +253,38 @@
     fleet.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_that_wait_at_a_busy_engine_are_not_sent_again() {
+    let mut options = FleetOptions::small(1);
+    options.engines = 1;
+    options.engine.prefill_tokens_per_s = 1_000.0;
+    let fleet = Fleet::start(options).await.expect("the fleet starts");
+    set_progress_timeout(&fleet, 1_000).await;
+    let caller = TestCaller::new(&fleet, "dairy-north");
+    let prompt = |index: usize| {
+        (0..400)
+            .map(|word| format!("clause{index}x{word} "))
+            .collect::<String>()
+    };
+
+    let chats = futures::future::join_all((0..7).map(|index| {
+        let (caller, prompt) = (&caller, prompt(index));
+        async move { (caller.stream_chat(0, &prompt, 5).await, prompt) }
+    }));
+
+    for (chat, prompt) in chats.await {
+        assert_eq!(
+            chat.text,
+            expected_text(&chat_messages(&prompt), 5),
+            "{}",
+            chat.body
+        );
+    }
+    let engine = engines(&fleet).remove(0);
+    assert_eq!(fleet.host.engine_seen(&engine).map(|seen| seen.requests), Some(7));
+    fleet.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_cannot_do_what_is_asked_is_asked_once_and_its_words_passed_on() {
     let mut options = FleetOptions::small(1);
