Pause a process before going on in tests; don't send a call whose deadline has passed

The outcome was honestly unknown and stayed so, where the test awaits the answer of a call that begins after the pause. One line showed a call that was timed out without being sent. Change: the test's pause waits until all threads have stopped; a call whose deadline passed before it was sent is not run. Ruled out: HomeGone after the pause (the answers were 4001), a lost forwarded request (the home had run it). Conclusion: the check is as strict and now tests what it says. A late answer after a pause is not kept; that stays open.

--- a/marigoldlock/src/calls/runner.rs
+++ b/marigoldlock/src/calls/runner.rs
@@ -112,7 +112,8 @@
         attempt: AttemptId,
         deadline: MonoTime,
     ) -> Result<CallAnswer, FailureKind> {
-        if !gate.is_open() {
+        let now = self.clock.now();
+        if !gate.is_open() || now >= deadline {
             return Err(FailureKind::NotConnected);
         }
         let sent = self.upstreams.send_once(UpstreamCall {
@@ -125,8 +126,7 @@
             attempt,
         });
         let read = async { read_answer(sent.await?).await };
-        let wait = deadline.since(self.clock.now());
-        tokio::time::timeout(wait, read)
+        tokio::time::timeout(deadline.since(now), read)
             .await
             .unwrap_or(Err(FailureKind::TimedOut))
     }
--- a/marigoldlock/tests/support/process.rs
+++ b/marigoldlock/tests/support/process.rs
@@ -4,12 +4,16 @@
 
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 use marigoldlock_fleet::Fleet;
 use marigoldlock_wire::platform::{CapacityKind, ListEntry, ListKind, ListState};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+/// Environment variable that has the instances' log lines shown.
+const SHOW_LOGS: &str = "SHOW_PROCESS_LOGS";
+
 /// An instance in a child process.
 pub struct ProcessInstance {
     child: Child,
@@ -75,9 +79,23 @@
         self.child.try_wait().expect("the child is ours")
     }
 
-    /// Stops the process where it stands.
+    /// Stops the process where it stands, and waits until all its threads have stopped.
+    ///
+    /// On a busy machine its threads go on for a while after the signal was sent.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
+        while !self.is_stopped() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("the child runs");
+        tasks.flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ")
+                .is_none_or(|(_, rest)| rest.starts_with('T'))
+        })
     }
 
     /// Lets a paused process go on.
@@ -104,7 +122,11 @@
     let stderr = child.stderr.take().expect("the log is piped");
     let (sender, receiver) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
+        let shown = std::env::var_os(SHOW_LOGS).is_some();
         for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            if shown {
+                eprintln!("{line}");
+            }
             let _ = sender.send(line);
         }
     });
