Wait for the change itself in the limits test

Change: the test waits for an offset past the change. Ruled out: the open route itself; the same test passes once the change is in force. Conclusion: the wait was wrong, the check is unchanged.

--- a/marigoldlock/tests/limits.rs
+++ b/marigoldlock/tests/limits.rs
@@ -25,7 +25,7 @@
             .settings
             .clone();
         let in_force = settings
-            .wait_for(|state| state.active.version().offset() >= offset)
+            .wait_for(|state| state.active.version().offset() > offset)
             .await;
         assert!(in_force, "the change is in force");
     }
