--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -26,6 +26,9 @@
 /// Administration token of an embedded fleet's own operator.
 pub const ADMIN_TOKEN: &str = "mgl_embedded_fleet_administrator";
 
+/// Others that every instance hears directly.
+const MESH_OTHERS: usize = 15;
+
 /// Longest wait for an instance to serve.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -266,7 +269,8 @@
 
     /// Waits until every instance hears every other and knows the upstreams.
     async fn wait_connected(&self) {
-        let others = self.instances.len().saturating_sub(1);
+        // Beyond a full mesh an instance hears only some of the others.
+        let others = self.instances.len().saturating_sub(1).min(MESH_OTHERS);
         for instance in &self.instances {
             instance.wait_members(others, READY_TIMEOUT).await;
             instance
