--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -13,6 +13,7 @@
 use eyre::Result;
 use marigoldlock::cli::InstanceOptions;
 use marigoldlock_core::keys::hash_key;
+use marigoldlock_core::routing::UPSTREAMS_PER_SERVICE;
 use marigoldlock_standin::prelude::*;
 use marigoldlock_wire::codec;
 use marigoldlock_wire::platform::{CapacityKind, ListEntry, ListKind, ListState};
@@ -271,11 +272,11 @@
     async fn wait_connected(&self) {
         // Beyond a full mesh an instance hears only some of the others.
         let others = self.instances.len().saturating_sub(1).min(MESH_OTHERS);
+        let used = |count: usize| count.min(UPSTREAMS_PER_SERVICE);
+        let upstreams = used(self.options.engines) + used(self.options.services);
         for instance in &self.instances {
             instance.wait_members(others, READY_TIMEOUT).await;
-            instance
-                .wait_upstreams(self.options.engines + self.options.services, READY_TIMEOUT)
-                .await;
+            instance.wait_upstreams(upstreams, READY_TIMEOUT).await;
         }
     }
 
