Lose the demo's answers at bookings only

Cause: in a release run of the demo no booking lost its answer: the reads of the load had used the losses up. Change: the fault names the path of the bookings. Conclusion: the demo exercises lost answers again.

--- a/marigoldctl/src/dev/demo.rs
+++ b/marigoldctl/src/dev/demo.rs
@@ -99,7 +99,11 @@
 fn lose_answers(fleet: &Fleet, deployment: &Deployment, summary: &mut DemoSummary) {
     for upstream in fleet.upstreams(deployment.plain.as_str()) {
         if let Some(faults) = fleet.host.faults(&upstream) {
-            faults.update(|plan| plan.drop_answer = CallBudget::Next(3));
+            faults.update(|plan| {
+                // Reads of the load must not use the losses up.
+                plan.path = Some("/bookings".into());
+                plan.drop_answer = CallBudget::Next(3);
+            });
         }
     }
     summary.events.push(format!(
