Count runs by idempotency key in one place

Cause: the demo's checks and the tests' support each counted how often a plain service ran a key. Change: Fleet::runs_by_key serves both; the counts and all assertions stay as they were. Conclusion: one piece of code.

--- a/marigoldctl/src/dev/checks.rs
+++ b/marigoldctl/src/dev/checks.rs
@@ -1,7 +1,5 @@
 //! Whether the promises held in a demo.
 
-use std::collections::BTreeMap;
-
 use marigoldlock_fleet::Fleet;
 
 use super::summary::DemoSummary;
@@ -9,7 +7,7 @@
 
 /// Compares what callers were told with what the plain services ran.
 pub fn check_calls(fleet: &Fleet, outcomes: &[DemoOutcome], summary: &mut DemoSummary) {
-    let runs = runs_by_key(fleet);
+    let runs = fleet.runs_by_key();
     for (key, count) in runs.iter().filter(|(_, count)| **count > 1) {
         summary.duplicates += 1;
         summary.broken.push(format!("the call {key} ran {count} times"));
@@ -36,19 +34,6 @@
     }
 }
 
-fn runs_by_key(fleet: &Fleet) -> BTreeMap<String, u64> {
-    let mut runs = BTreeMap::new();
-    for upstream in fleet.host.names() {
-        let Some(seen) = fleet.host.service_seen(&upstream) else {
-            continue;
-        };
-        for key in seen.calls.into_iter().filter_map(|call| call.key) {
-            *runs.entry(key).or_default() += 1;
-        }
-    }
-    runs
-}
-
 /// Checks that no key reached an upstream.
 pub fn check_keys(fleet: &Fleet, summary: &mut DemoSummary) {
     let deployment = &fleet.options().deployment;
--- a/marigoldlock/tests/support/mod.rs
+++ b/marigoldlock/tests/support/mod.rs
@@ -218,16 +218,7 @@
 
 /// How often the plain service ran each idempotency key, over all its upstreams.
 pub fn runs_by_key(fleet: &Fleet) -> BTreeMap<String, u64> {
-    let mut runs = BTreeMap::new();
-    for upstream in fleet.host.names() {
-        let Some(seen) = fleet.host.service_seen(&upstream) else {
-            continue;
-        };
-        for key in seen.calls.into_iter().filter_map(|call| call.key) {
-            *runs.entry(key).or_default() += 1;
-        }
-    }
-    runs
+    fleet.runs_by_key()
 }
 
 /// Looks at a condition until it holds.
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod instance;
 pub mod process;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -228,6 +229,20 @@
             .collect()
     }
 
+    /// How often the plain services ran each idempotency key, over all upstreams, also those that ended.
+    pub fn runs_by_key(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        let seen = self
+            .host
+            .names()
+            .into_iter()
+            .filter_map(|upstream| self.host.service_seen(&upstream));
+        for key in seen.flat_map(|seen| seen.calls).filter_map(|call| call.key) {
+            *runs.entry(key).or_default() += 1;
+        }
+        runs
+    }
+
     /// What the fleet is made of.
     pub fn options(&self) -> &FleetOptions {
         &self.options
