--- /dev/null
+++ b/marigoldlock/src/gateway/session.rs
@@ -0,0 +1,448 @@
+//! One request: checks, attempts, and the answer of a call that is no stream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header, request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use marigoldlock_core::gateway::choice::{ChoicePoint, pick_plain};
+use marigoldlock_core::gateway::outcome::{AttemptFailure, AttemptLedger};
+use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::route::KeyOwner;
+use marigoldlock_core::prelude::*;
+use rand::Rng;
+
+use crate::logging::DECISION_TARGET;
+
+use super::Gateway;
+use super::links::{LinkSender, connect};
+use super::respond::{AnswerBody, finish, refuse, whole};
+use super::stream;
+use super::work::WorkGuard;
+
+/// Largest answer of a call that is no stream, in bytes; it is held until it is whole.
+const ANSWER_BYTES_MOST: usize = 8 << 20;
+
+/// Silence of an upstream after which a repeatable call is sent to another, in latency objectives.
+const SILENT_OBJECTIVES: u32 = 3;
+
+/// Shortest silence after which a repeatable call is sent to another.
+const SILENCE_LEAST: Duration = Duration::from_millis(150);
+
+/// When a caller may come back after a refusal for want of an upstream: a few of the shortest requests.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// When a caller may come back to an instance that has no settings yet.
+const COME_BACK_STARTING: Duration = Duration::from_millis(600);
+
+/// A request with what was decided about it.
+pub struct Call {
+    pub gateway: Arc<Gateway>,
+    pub head: CallHead,
+    pub parts: request::Parts,
+    pub body: Bytes,
+    pub route: Arc<RouteRule>,
+    pub service: ServiceId,
+    pub owner: Option<KeyOwner>,
+    pub arrived: MonoTime,
+    pub deadline: MonoTime,
+    pub ledger: AttemptLedger,
+    pub tried: Vec<UpstreamId>,
+    /// Memory of one of the service's engines, in tokens.
+    pub kv_tokens: u64,
+    is_counted: bool,
+}
+
+/// How an attempt is made.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptPlan {
+    /// Where the prompt's memory is fetched from.
+    pub kv_source: Option<KvSource>,
+    /// True if only the prompt is read.
+    pub is_prefill: bool,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Longest wait for the head of the answer.
+    pub patience: Duration,
+}
+
+/// Head of an upstream's answer, with the connection that it comes on.
+pub struct OpenAnswer {
+    pub sender: LinkSender,
+    pub head: AnswerHead,
+    pub parts: response::Parts,
+    pub body: Incoming,
+}
+
+/// Serves one request of a caller.
+pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = gateway.now();
+    let (parts, body) = request.into_parts();
+    let head = gateway.parts.caller.read_call(&parts);
+    let Some(settings) = gateway.state().settings.clone() else {
+        let refusal = Refusal::new(RefusalCause::NotReady).retry_after(COME_BACK_STARTING);
+        return refuse(&gateway, &head, None, refusal);
+    };
+    let Some(route) = settings.route(host(&parts), parts.uri.path()).cloned() else {
+        return refuse(&gateway, &head, None, Refusal::new(RefusalCause::NoRoute));
+    };
+    let mut owner = None;
+    if settings.has_keys() && !route.is_anonymous {
+        owner = head.api_key.as_deref().and_then(|key| settings.key_owner(key)).cloned();
+        if owner.is_none() {
+            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::UnknownKey));
+        }
+    }
+    let body = match Limited::new(body, settings.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::BodyTooLarge));
+        }
+        Err(err) => {
+            log::info!(request = head.attempt_id, error:% = err; "the caller's body broke off");
+            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::Malformed));
+        }
+    };
+    let Some(service) = route.service(rand::rng().random()).cloned() else {
+        return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::NoUpstream));
+    };
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let engine = settings.service(service.as_str()).and_then(|rule| rule.engine.as_ref());
+    let call = Call {
+        kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
+        gateway,
+        head,
+        parts,
+        body,
+        service,
+        owner,
+        arrived,
+        deadline: arrived + patience,
+        ledger: AttemptLedger::default(),
+        tried: Vec::new(),
+        is_counted: false,
+        route,
+    };
+    call.count_request();
+    if call.route.kind.is_stream() { stream::serve(call).await } else { call.serve_plain().await }
+}
+
+fn host(parts: &request::Parts) -> &str {
+    let named = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    named.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
+impl Call {
+    /// Time until the answer is due.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.gateway.now())
+    }
+
+    /// Where and when an upstream is chosen.
+    pub fn point(&self) -> ChoicePoint<'_> {
+        ChoicePoint {
+            data_centre: &self.gateway.parts.card.data_centre,
+            now: self.gateway.now(),
+        }
+    }
+
+    fn count_request(&self) {
+        let now = self.gateway.now();
+        let limits = self.gateway.parts.bounds.budget;
+        let mut state = self.gateway.state();
+        state.budgets.entry(self.service.clone()).or_default().count_request(now, &limits);
+    }
+
+    /// Takes a repeat from the service's budget.
+    pub fn try_repeat(&self) -> bool {
+        let now = self.gateway.now();
+        let limits = self.gateway.parts.bounds.budget;
+        let mut state = self.gateway.state();
+        let instances = state.instances();
+        state.budgets.entry(self.service.clone()).or_default().try_repeat(now, &limits, instances)
+    }
+
+    /// True if the request may be sent to one more upstream; takes it from the budget.
+    pub fn may_send(&self) -> bool {
+        self.ledger.may_send(self.route.kind, self.route.max_attempts)
+            && !self.time_left().is_zero()
+            && (self.ledger.sent() == 0 || self.try_repeat())
+    }
+
+    /// Counts the request as begun, once, for its customer's usage.
+    pub fn count_begun(&mut self) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        if let Some(owner) = &self.owner {
+            self.gateway.count_usage(&owner.customer);
+        }
+    }
+
+    /// The answer when nothing more is sent.
+    pub fn give_up(&self) -> Response<AnswerBody> {
+        let cause = self.ledger.refusal(self.time_left().is_zero());
+        let mut refusal = Refusal::new(cause);
+        if cause.is_not_run() {
+            refusal = refusal.retry_after(COME_BACK);
+        }
+        refuse(&self.gateway, &self.head, Some(&self.route.name), refusal)
+    }
+
+    /// Logs the end of the request.
+    pub fn log_done(&self, outcome: &str, status: StatusCode) {
+        let elapsed = self.gateway.now().since(self.arrived);
+        log::info!(
+            target: DECISION_TARGET,
+            request = self.head.attempt_id, route = self.route.name, outcome, status = status.as_u16(),
+            attempts = self.ledger.sent(), elapsed_ms = elapsed.as_millis() as u64;
+            "request ended"
+        );
+        metrics::counter!("gateway_requests_total", "outcome" => outcome.to_owned()).increment(1);
+        metrics::histogram!("gateway_request_seconds").record(elapsed.as_secs_f64());
+    }
+
+    /// Notes how an attempt failed, for the request and for the upstream.
+    pub fn note_failure(&mut self, entry: &UpstreamEntry, failure: AttemptFailure) {
+        self.ledger.record(failure);
+        self.tried.push(entry.id.clone());
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let upstream = state.upstream(&entry.id);
+        let is_ejected = match failure {
+            AttemptFailure::NotRun => {
+                upstream.record_full(now);
+                false
+            }
+            AttemptFailure::Errored => false,
+            _ => upstream.record_failure(now),
+        };
+        drop(state);
+        log::info!(
+            target: DECISION_TARGET,
+            request = self.head.attempt_id, upstream:% = entry.id, failure = failure.as_str(), set_aside = is_ejected,
+            attempts = self.ledger.sent();
+            "attempt failed"
+        );
+        metrics::counter!("gateway_attempt_failures_total", "failure" => failure.as_str()).increment(1);
+    }
+
+    async fn serve_plain(mut self) -> Response<AnswerBody> {
+        let mut fallback = None;
+        while self.may_send() {
+            let Some((entry, has_others)) = self.choose_plain() else { break };
+            let mut patience = self.time_left();
+            if self.route.kind.is_repeatable() && has_others && self.ledger.sent() + 1 < self.route.max_attempts {
+                patience = patience.min(SILENCE_LEAST.max(self.route.target_latency * SILENT_OBJECTIVES));
+            }
+            self.ledger.count_sent();
+            let guard = WorkGuard::open(&self.gateway, &entry.id, 0);
+            let result = self.exchange(&entry, patience).await;
+            drop(guard);
+            match result {
+                Ok(answer) if answer.status() == StatusCode::INTERNAL_SERVER_ERROR => {
+                    self.count_begun();
+                    self.note_failure(&entry, AttemptFailure::Errored);
+                    fallback = Some(answer);
+                }
+                Ok(answer) => {
+                    self.count_begun();
+                    return self.deliver(answer);
+                }
+                Err(failure) => {
+                    if failure == AttemptFailure::NotSent {
+                        self.ledger.count_not_sent();
+                    }
+                    self.note_failure(&entry, failure);
+                }
+            }
+        }
+        match fallback {
+            Some(answer) => self.deliver(answer),
+            None => self.give_up(),
+        }
+    }
+
+    fn deliver(&self, answer: Response<Bytes>) -> Response<AnswerBody> {
+        self.log_done("answered", answer.status());
+        finish(&self.gateway, answer.map(whole))
+    }
+
+    fn choose_plain(&self) -> Option<(UpstreamEntry, bool)> {
+        let point = self.point();
+        let state = self.gateway.state();
+        let candidates = state.candidates(&self.service, |_| true, &self.tried, point.now);
+        let has_others = candidates.len() > 1;
+        let entry = pick_plain(candidates.iter().copied(), point, rand::rng().random())?;
+        log::info!(
+            target: DECISION_TARGET,
+            request = self.head.attempt_id, upstream:% = entry.id, candidates = candidates.len(),
+            load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(point.now));
+            "upstream chosen"
+        );
+        Some((entry.clone(), has_others))
+    }
+
+    /// Sends the request and reads the whole answer.
+    async fn exchange(&self, entry: &UpstreamEntry, patience: Duration) -> Result<Response<Bytes>, AttemptFailure> {
+        let plan = AttemptPlan {
+            patience,
+            last_event: self.head.last_event,
+            ..AttemptPlan::default()
+        };
+        let opened = self.send(entry, &plan).await?;
+        self.read_whole(entry, opened).await
+    }
+
+    /// Reads the rest of an answer that is no stream.
+    pub async fn read_whole(
+        &self,
+        entry: &UpstreamEntry,
+        opened: OpenAnswer,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
+        let OpenAnswer { sender, head, parts, body } = opened;
+        let read = Limited::new(body, ANSWER_BYTES_MOST).collect();
+        let body = match tokio::time::timeout(self.time_left(), read).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(err)) => {
+                log::info!(request = self.head.attempt_id, upstream:% = entry.id, error:% = err; "the answer broke off");
+                return Err(AttemptFailure::Broken);
+            }
+            Err(_) => return Err(AttemptFailure::TimedOut),
+        };
+        self.keep_link(entry, sender, &head);
+        let mut answer = Response::new(body);
+        *answer.status_mut() = parts.status;
+        *answer.headers_mut() = self.gateway.parts.upstream.answer_headers(&parts.headers);
+        Ok(answer)
+    }
+
+    /// Notes a whole answer and keeps its connection.
+    pub fn keep_link(&self, entry: &UpstreamEntry, sender: LinkSender, head: &AnswerHead) {
+        let now = self.gateway.now();
+        self.gateway.state().upstream(&entry.id).record_success();
+        if !head.is_closing {
+            self.gateway.links().keep(&entry.id, sender, head.keep_alive, now);
+        }
+    }
+
+    /// Sends the request to an upstream and reads the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Says what is known of the attempt if it gave no answer that can be used.
+    pub async fn send(&self, entry: &UpstreamEntry, plan: &AttemptPlan) -> Result<OpenAnswer, AttemptFailure> {
+        let is_reusable = self.route.kind.is_repeatable() || plan.is_prefill;
+        let pooled = if is_reusable { self.gateway.links().take(&entry.id, self.gateway.now()) } else { None };
+        let answer = match pooled {
+            Some(sender) => match self.send_on(sender, entry, plan).await {
+                // The upstream had closed the idle connection; nothing was sent.
+                Err(AttemptFailure::NotSent) => self.send_fresh(entry, plan).await,
+                result => result,
+            },
+            None => self.send_fresh(entry, plan).await,
+        }?;
+        self.check(entry, answer)
+    }
+
+    async fn send_fresh(&self, entry: &UpstreamEntry, plan: &AttemptPlan) -> Result<OpenAnswer, AttemptFailure> {
+        match connect(entry.address).await {
+            Ok(sender) => self.send_on(sender, entry, plan).await,
+            Err(err) => {
+                log::info!(request = self.head.attempt_id, upstream:% = entry.id, error:% = err; "connect failed");
+                Err(AttemptFailure::NotSent)
+            }
+        }
+    }
+
+    async fn send_on(
+        &self,
+        mut sender: LinkSender,
+        entry: &UpstreamEntry,
+        plan: &AttemptPlan,
+    ) -> Result<OpenAnswer, AttemptFailure> {
+        let time_left = self.time_left();
+        if time_left.is_zero() {
+            return Err(AttemptFailure::NotSent);
+        }
+        let request = self.build_request(entry, plan, time_left);
+        let sent = tokio::time::timeout(plan.patience, sender.try_send_request(request)).await;
+        match sent {
+            Ok(Ok(response)) => {
+                let (parts, body) = response.into_parts();
+                let head = self.gateway.parts.upstream.read_answer(&parts);
+                Ok(OpenAnswer { sender, head, parts, body })
+            }
+            Ok(Err(mut err)) => {
+                let is_sent = err.take_message().is_none();
+                let error = err.into_error();
+                log::info!(
+                    request = self.head.attempt_id, upstream:% = entry.id, error:% = error, sent = is_sent;
+                    "no answer from the upstream"
+                );
+                Err(if is_sent { AttemptFailure::Broken } else { AttemptFailure::NotSent })
+            }
+            Err(_) => Err(AttemptFailure::TimedOut),
+        }
+    }
+
+    fn build_request(
+        &self,
+        entry: &UpstreamEntry,
+        plan: &AttemptPlan,
+        time_left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let customer = self.owner.as_ref();
+        let rank = customer.and_then(|owner| owner.priority).unwrap_or(self.route.priority);
+        let attempt = AttemptHead {
+            upstream: &entry.id,
+            customer: customer.map(|owner| &owner.customer),
+            time_left,
+            last_event: plan.last_event,
+            kv_source: plan.kv_source.as_ref(),
+            is_prefill: plan.is_prefill,
+            priority: rank.min(9),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.headers_mut() = self.gateway.parts.upstream.attempt_headers(&self.parts.headers, &attempt);
+        if let Some(path) = self.parts.uri.path_and_query() {
+            *request.uri_mut() = path.clone().into();
+        }
+        request
+    }
+
+    /// Tells an answer to this request from refusals and from what belongs to another request.
+    fn check(&self, entry: &UpstreamEntry, opened: OpenAnswer) -> Result<OpenAnswer, AttemptFailure> {
+        let head = &opened.head;
+        if let Some(load) = head.load {
+            let now = self.gateway.now();
+            self.gateway.state().upstream(&entry.id).record_report(load, now);
+        }
+        let is_foreign = head.attempt_id.as_ref().is_some_and(|id| *id != self.head.attempt_id);
+        if is_foreign {
+            log::warn!(
+                request = self.head.attempt_id, upstream:% = entry.id, answer_to = head.attempt_id.as_deref();
+                "the answer belongs to another request; the connection is closed"
+            );
+            return Err(AttemptFailure::Broken);
+        }
+        if head.is_other_upstream {
+            return Err(AttemptFailure::OtherUpstream);
+        }
+        if head.is_not_run {
+            return Err(AttemptFailure::NotRun);
+        }
+        let promises_not_run = matches!(opened.parts.status.as_u16(), 408 | 421 | 429 | 503);
+        let is_unsigned = opened.parts.status.is_success() && !head.is_signed;
+        if promises_not_run || opened.parts.status.is_informational() {
+            return Err(AttemptFailure::Broken);
+        }
+        if is_unsigned && head.attempt_id.is_none() {
+            return Err(AttemptFailure::Broken);
+        }
+        Ok(opened)
+    }
+}
--- a/marigoldlock_core/src/lib.rs
+++ b/marigoldlock_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod authority;
 pub mod calls;
+pub mod gateway;
 pub mod jobs;
 pub mod keys;
 pub mod membership;
