Give each subject one reader; keep long reads off generating upstreams

Ruled out: stalls in the relay (events arrive as they are made, traced with first_event_ms and events). Change: rendezvous owner of a subject over all readers; tokens read by a generating upstream cost 8 times as much.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -94,9 +94,15 @@
         let own = &self.gateway.parts.card.id;
         let (has_holder, is_first) = {
             let state = self.gateway.state();
-            let mut live = state.members.live(now).filter(|member| member.stage == MemberStage::Ready);
+            let mut live = state
+                .members
+                .live(now)
+                .filter(|member| member.stage == MemberStage::Ready);
             let is_first = live.all(|member| member.card.id > *own);
-            (state.members.live(now).any(|member| member.duty_fence.is_some()), is_first)
+            (
+                state.members.live(now).any(|member| member.duty_fence.is_some()),
+                is_first,
+            )
         };
         if has_holder {
             self.missing_since = None;
@@ -105,7 +111,11 @@
         let since = *self.missing_since.get_or_insert(now);
         let waited = now.since(since);
         // If the first in order can't reach the store, the others claim later.
-        let patience = if is_first { HOLDER_MISSING } else { HOLDER_MISSING * 3 };
+        let patience = if is_first {
+            HOLDER_MISSING
+        } else {
+            HOLDER_MISSING * 3
+        };
         if waited < patience || !self.read_ledger().await {
             return;
         }
@@ -118,7 +128,11 @@
         let (fence, may_claim, end) = {
             let state = self.gateway.state();
             let fence = state.ledger.fence_of(&card.id, card.incarnation);
-            (fence, state.ledger.may_claim(now, self.gateway.parts.bounds.lease), state.ledger.next_offset())
+            (
+                fence,
+                state.ledger.may_claim(now, self.gateway.parts.bounds.lease),
+                state.ledger.next_offset(),
+            )
         };
         if let Some(fence) = fence {
             self.hold(fence);
@@ -159,7 +173,10 @@
         let now = self.gateway.now();
         let is_superseded = {
             let state = self.gateway.state();
-            state.members.live(now).any(|member| member.duty_fence.is_some_and(|other| other > fence))
+            state
+                .members
+                .live(now)
+                .any(|member| member.duty_fence.is_some_and(|other| other > fence))
         };
         if is_superseded {
             self.release("another instance holds a higher fencing number");
@@ -194,7 +211,9 @@
             self.reported.insert(window);
             return true;
         }
-        let Some(duties) = self.gateway.parts.duties.clone() else { return false };
+        let Some(duties) = self.gateway.parts.duties.clone() else {
+            return false;
+        };
         let holder = DutyHolder {
             instance: self.gateway.parts.card.id.as_str(),
             fence,
@@ -241,7 +260,13 @@
                 return false;
             }
         };
-        match self.gateway.parts.store.append_at(StoreStream::Duties, &bytes, end).await {
+        match self
+            .gateway
+            .parts
+            .store
+            .append_at(StoreStream::Duties, &bytes, end)
+            .await
+        {
             Ok(AppendOutcome::Appended(offset)) => {
                 self.failures = 0;
                 let now = self.gateway.now();
@@ -269,7 +294,10 @@
         let card = &self.gateway.parts.card;
         let (held, latest) = {
             let state = self.gateway.state();
-            (state.duty_fence, state.ledger.fence_of(&card.id, card.incarnation))
+            (
+                state.duty_fence,
+                state.ledger.fence_of(&card.id, card.incarnation),
+            )
         };
         if held.is_some() && held != latest {
             self.release("another instance has claimed the duties");
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -53,7 +53,12 @@
     let mut next = None;
     loop {
         let result = match next {
-            None => gateway.parts.store.list(stream).await.map(|listing| (listing, true)),
+            None => gateway
+                .parts
+                .store
+                .list(stream)
+                .await
+                .map(|listing| (listing, true)),
             Some(offset) => {
                 let followed = gateway.parts.store.follow(stream, offset, POLL_WAIT).await;
                 followed.map(|listing| (listing, false))
@@ -89,7 +94,12 @@
             return;
         }
     };
-    while let Err(err) = gateway.parts.store.put(StoreStream::Members, card.id.as_str(), &value).await {
+    while let Err(err) = gateway
+        .parts
+        .store
+        .put(StoreStream::Members, card.id.as_str(), &value)
+        .await
+    {
         log::debug!(error:% = err; "the member card isn't in the store yet");
         pause.wait().await;
     }
@@ -129,7 +139,10 @@
 ) {
     match stream {
         StoreStream::Settings => {
-            for record in records.iter().filter(|record| record.key == gateway.parts.format.settings_key()) {
+            for record in records
+                .iter()
+                .filter(|record| record.key == gateway.parts.format.settings_key())
+            {
                 if let Some(value) = &record.value {
                     apply_settings(gateway, value, "store");
                 }
@@ -169,7 +182,10 @@
     let state = &mut *state;
     // A listing that is older than what is known can't tell what is gone.
     if is_whole && next_offset >= state.upstreams_offset {
-        let ids = records.iter().filter(|record| record.value.is_some()).map(|record| record.key.clone());
+        let ids = records
+            .iter()
+            .filter(|record| record.value.is_some())
+            .map(|record| record.key.clone());
         state.catalog.retain(&ids.collect(), now, state.store_back);
     }
     state.upstreams_offset = state.upstreams_offset.max(next_offset);
@@ -180,7 +196,11 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let state = &mut *state;
-    if state.upstreams_raw.get(&record.key).is_some_and(|known| known.offset >= record.offset) {
+    if state
+        .upstreams_raw
+        .get(&record.key)
+        .is_some_and(|known| known.offset >= record.offset)
+    {
         return;
     }
     let raw = RawRecord {
@@ -188,13 +208,20 @@
         value: record.value.clone(),
     };
     state.upstreams_raw.insert(record.key.clone(), raw);
-    let entry = record.value.as_ref().map(|value| gateway.parts.format.upstream(&record.key, value));
+    let entry = record
+        .value
+        .as_ref()
+        .map(|value| gateway.parts.format.upstream(&record.key, value));
     let change = match entry {
         Some(Ok(entry)) => {
             let id = entry.id.clone();
             let change = state.catalog.put(entry);
             if change == CatalogChange::Started {
-                let peers = state.upstreams.get(&id).map(|known| known.peers).unwrap_or_default();
+                let peers = state
+                    .upstreams
+                    .get(&id)
+                    .map(|known| known.peers)
+                    .unwrap_or_default();
                 state.upstreams.insert(id, UpstreamState::starting_with(peers));
             }
             change
--- a/marigoldlock/src/gateway/front.rs
+++ b/marigoldlock/src/gateway/front.rs
@@ -118,7 +118,11 @@
     let directory = &gateway.parts.directory;
     if directory.is_readiness(uri) {
         let is_ready = gateway.state().stage == MemberStage::Ready;
-        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
         return with_status(status);
     }
     let Some(question) = directory.read_question(uri) else {
--- a/marigoldlock/src/gateway/links.rs
+++ b/marigoldlock/src/gateway/links.rs
@@ -58,7 +58,9 @@
     pub fn take(&mut self, upstream: &UpstreamId, now: MonoTime) -> Option<LinkSender> {
         let links = self.idle.get_mut(upstream)?;
         links.retain(|link| is_alive(link, now));
-        let at = links.iter().rposition(|link| now.since(link.since) >= SETTLE_TIME)?;
+        let at = links
+            .iter()
+            .rposition(|link| now.since(link.since) >= SETTLE_TIME)?;
         Some(links.remove(at).sender)
     }
 
@@ -104,15 +106,19 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE).with_retries(1);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(1);
     if let Err(err) = socket.set_tcp_keepalive(&keepalive) {
         log::debug!(error:% = err; "keep-alive probes were refused");
     }
     if let Err(err) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
         log::debug!(error:% = err; "the user timeout was refused");
     }
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
     tokio::spawn(async move {
         if let Err(err) = connection.await {
             log::debug!(error:% = err; "upstream connection ended");
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -142,10 +142,19 @@
             parts,
         });
         let background = CancellationToken::new();
-        let socket = UdpSocket::bind(peer_address).await.wrap_err_with(|| format!("bind {peer_address}"))?;
+        let socket = UdpSocket::bind(peer_address)
+            .await
+            .wrap_err_with(|| format!("bind {peer_address}"))?;
         let peer_listener = bind(peer_address).await?;
-        front::spawn(&gateway, bind(addresses.readiness).await?, front::Surface::Instance);
-        if let Some(address) = addresses.directory.filter(|address| *address != addresses.readiness) {
+        front::spawn(
+            &gateway,
+            bind(addresses.readiness).await?,
+            front::Surface::Instance,
+        );
+        if let Some(address) = addresses
+            .directory
+            .filter(|address| *address != addresses.readiness)
+        {
             front::spawn(&gateway, bind(address).await?, front::Surface::Instance);
         }
         if let Some(address) = addresses.metrics {
@@ -184,7 +193,9 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("listen on {address}"))
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("listen on {address}"))
 }
 
 fn spawn_until<F>(end: &CancellationToken, task: F)
--- a/marigoldlock/src/gateway/peers.rs
+++ b/marigoldlock/src/gateway/peers.rs
@@ -52,7 +52,11 @@
 
 /// Sends and receives heartbeats, for ever.
 pub async fn exchange(gateway: Arc<Gateway>, socket: UdpSocket) {
-    tokio::join!(send_beats(&gateway, &socket), receive_beats(&gateway, &socket), catch_up(&gateway));
+    tokio::join!(
+        send_beats(&gateway, &socket),
+        receive_beats(&gateway, &socket),
+        catch_up(&gateway)
+    );
 }
 
 async fn send_beats(gateway: &Gateway, socket: &UdpSocket) {
@@ -94,7 +98,10 @@
     let state = gateway.state();
     let source = (card.id.clone(), card.incarnation);
     let true_window = gateway.window(state.clock.unix_ms(unix_ms, now));
-    let work = state.upstreams.iter().filter(|(_, upstream)| upstream.own != WorkInFlight::default());
+    let work = state
+        .upstreams
+        .iter()
+        .filter(|(_, upstream)| upstream.own != WorkInFlight::default());
     Heartbeat {
         card: card.clone(),
         stage: state.stage,
@@ -110,7 +117,9 @@
                 reading_tokens: upstream.own.reading_tokens,
             })
             .collect(),
-        usage: state.usage.told_by(&source, window.min(true_window).saturating_sub(WINDOWS_TOLD)),
+        usage: state
+            .usage
+            .told_by(&source, window.min(true_window).saturating_sub(WINDOWS_TOLD)),
     }
 }
 
@@ -182,7 +191,9 @@
                 log::info!(peer:% = address, upstreams_offset = snapshot.upstreams_offset; "caught up from another instance");
                 take(gateway, snapshot);
             }
-            Ok(Err(err)) => log::info!(peer:% = address, error:% = err; "another instance could not be asked"),
+            Ok(Err(err)) => {
+                log::info!(peer:% = address, error:% = err; "another instance could not be asked")
+            }
             Err(_) => log::info!(peer:% = address; "another instance did not answer in time"),
         }
     }
@@ -217,7 +228,9 @@
     let body = Limited::new(response.into_body(), CATCH_UP_BYTES).collect().await;
     let bytes = body.map_err(std::io::Error::other)?.to_bytes();
     let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
-    decoded.map(|(snapshot, _)| snapshot).map_err(std::io::Error::other)
+    decoded
+        .map(|(snapshot, _)| snapshot)
+        .map_err(std::io::Error::other)
 }
 
 fn take(gateway: &Gateway, snapshot: Snapshot) {
@@ -246,7 +259,13 @@
         upstreams: state
             .upstreams_raw
             .iter()
-            .map(|(key, raw)| (key.clone(), raw.offset, raw.value.as_ref().map(|value| value.to_vec())))
+            .map(|(key, raw)| {
+                (
+                    key.clone(),
+                    raw.offset,
+                    raw.value.as_ref().map(|value| value.to_vec()),
+                )
+            })
             .collect(),
         upstreams_offset: state.upstreams_offset,
     };
--- a/marigoldlock/src/gateway/respond.rs
+++ b/marigoldlock/src/gateway/respond.rs
@@ -21,7 +21,12 @@
 }
 
 /// An answer of the gateway's own, logged with the request that it ends.
-pub fn refuse(gateway: &Gateway, head: &CallHead, route: Option<&str>, refusal: Refusal) -> Response<AnswerBody> {
+pub fn refuse(
+    gateway: &Gateway,
+    head: &CallHead,
+    route: Option<&str>,
+    refusal: Refusal,
+) -> Response<AnswerBody> {
     let retry_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64);
     log::info!(
         target: crate::logging::DECISION_TARGET,
@@ -36,7 +41,9 @@
 /// Adds what concerns the caller's connection.
 pub fn finish(gateway: &Gateway, mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     if gateway.state().stage == MemberStage::Leaving {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
--- a/marigoldlock/src/gateway/session.rs
+++ b/marigoldlock/src/gateway/session.rs
@@ -52,6 +52,10 @@
     pub tried: Vec<UpstreamId>,
     /// Memory of one of the service's engines, in tokens.
     pub kv_tokens: u64,
+    /// Events passed on so far.
+    pub events: u64,
+    /// When the first event was passed on.
+    pub first_event_at: Option<MonoTime>,
     is_counted: bool,
 }
 
@@ -90,26 +94,52 @@
     };
     let mut owner = None;
     if settings.has_keys() && !route.is_anonymous {
-        owner = head.api_key.as_deref().and_then(|key| settings.key_owner(key)).cloned();
+        owner = head
+            .api_key
+            .as_deref()
+            .and_then(|key| settings.key_owner(key))
+            .cloned();
         if owner.is_none() {
-            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::UnknownKey));
+            return refuse(
+                &gateway,
+                &head,
+                Some(&route.name),
+                Refusal::new(RefusalCause::UnknownKey),
+            );
         }
     }
     let body = match Limited::new(body, settings.limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::BodyTooLarge));
+            return refuse(
+                &gateway,
+                &head,
+                Some(&route.name),
+                Refusal::new(RefusalCause::BodyTooLarge),
+            );
         }
         Err(err) => {
             log::info!(request = head.attempt_id, error:% = err; "the caller's body broke off");
-            return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::Malformed));
+            return refuse(
+                &gateway,
+                &head,
+                Some(&route.name),
+                Refusal::new(RefusalCause::Malformed),
+            );
         }
     };
     let Some(service) = route.service(rand::rng().random()).cloned() else {
-        return refuse(&gateway, &head, Some(&route.name), Refusal::new(RefusalCause::NoUpstream));
+        return refuse(
+            &gateway,
+            &head,
+            Some(&route.name),
+            Refusal::new(RefusalCause::NoUpstream),
+        );
     };
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
-    let engine = settings.service(service.as_str()).and_then(|rule| rule.engine.as_ref());
+    let engine = settings
+        .service(service.as_str())
+        .and_then(|rule| rule.engine.as_ref());
     let call = Call {
         kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
         gateway,
@@ -122,15 +152,24 @@
         deadline: arrived + patience,
         ledger: AttemptLedger::default(),
         tried: Vec::new(),
+        events: 0,
+        first_event_at: None,
         is_counted: false,
         route,
     };
     call.count_request();
-    if call.route.kind.is_stream() { stream::serve(call).await } else { call.serve_plain().await }
+    if call.route.kind.is_stream() {
+        stream::serve(call).await
+    } else {
+        call.serve_plain().await
+    }
 }
 
 fn host(parts: &request::Parts) -> &str {
-    let named = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let named = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
     named.or_else(|| parts.uri.host()).unwrap_or_default()
 }
 
@@ -152,7 +191,11 @@
         let now = self.gateway.now();
         let limits = self.gateway.parts.bounds.budget;
         let mut state = self.gateway.state();
-        state.budgets.entry(self.service.clone()).or_default().count_request(now, &limits);
+        state
+            .budgets
+            .entry(self.service.clone())
+            .or_default()
+            .count_request(now, &limits);
     }
 
     /// Takes a repeat from the service's budget.
@@ -161,7 +204,11 @@
         let limits = self.gateway.parts.bounds.budget;
         let mut state = self.gateway.state();
         let instances = state.instances();
-        state.budgets.entry(self.service.clone()).or_default().try_repeat(now, &limits, instances)
+        state
+            .budgets
+            .entry(self.service.clone())
+            .or_default()
+            .try_repeat(now, &limits, instances)
     }
 
     /// True if the request may be sent to one more upstream; takes it from the budget.
@@ -197,7 +244,8 @@
         log::info!(
             target: DECISION_TARGET,
             request = self.head.attempt_id, route = self.route.name, outcome, status = status.as_u16(),
-            attempts = self.ledger.sent(), elapsed_ms = elapsed.as_millis() as u64;
+            attempts = self.ledger.sent(), events = self.events,
+            first_event_ms = self.first_event_at.map_or(0, |at| at.since(self.arrived).as_millis() as u64), elapsed_ms = elapsed.as_millis() as u64;
             "request ended"
         );
         metrics::counter!("gateway_requests_total", "outcome" => outcome.to_owned()).increment(1);
@@ -232,9 +280,14 @@
     async fn serve_plain(mut self) -> Response<AnswerBody> {
         let mut fallback = None;
         while self.may_send() {
-            let Some((entry, has_others)) = self.choose_plain() else { break };
+            let Some((entry, has_others)) = self.choose_plain() else {
+                break;
+            };
             let mut patience = self.time_left();
-            if self.route.kind.is_repeatable() && has_others && self.ledger.sent() + 1 < self.route.max_attempts {
+            if self.route.kind.is_repeatable()
+                && has_others
+                && self.ledger.sent() + 1 < self.route.max_attempts
+            {
                 patience = patience.min(SILENCE_LEAST.max(self.route.target_latency * SILENT_OBJECTIVES));
             }
             self.ledger.count_sent();
@@ -286,7 +339,11 @@
     }
 
     /// Sends the request and reads the whole answer.
-    async fn exchange(&self, entry: &UpstreamEntry, patience: Duration) -> Result<Response<Bytes>, AttemptFailure> {
+    async fn exchange(
+        &self,
+        entry: &UpstreamEntry,
+        patience: Duration,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
         let plan = AttemptPlan {
             patience,
             last_event: self.head.last_event,
@@ -302,7 +359,12 @@
         entry: &UpstreamEntry,
         opened: OpenAnswer,
     ) -> Result<Response<Bytes>, AttemptFailure> {
-        let OpenAnswer { sender, head, parts, body } = opened;
+        let OpenAnswer {
+            sender,
+            head,
+            parts,
+            body,
+        } = opened;
         let read = Limited::new(body, ANSWER_BYTES_MOST).collect();
         let body = match tokio::time::timeout(self.time_left(), read).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -333,9 +395,17 @@
     /// # Errors
     ///
     /// Says what is known of the attempt if it gave no answer that can be used.
-    pub async fn send(&self, entry: &UpstreamEntry, plan: &AttemptPlan) -> Result<OpenAnswer, AttemptFailure> {
+    pub async fn send(
+        &self,
+        entry: &UpstreamEntry,
+        plan: &AttemptPlan,
+    ) -> Result<OpenAnswer, AttemptFailure> {
         let is_reusable = self.route.kind.is_repeatable() || plan.is_prefill;
-        let pooled = if is_reusable { self.gateway.links().take(&entry.id, self.gateway.now()) } else { None };
+        let pooled = if is_reusable {
+            self.gateway.links().take(&entry.id, self.gateway.now())
+        } else {
+            None
+        };
         let answer = match pooled {
             Some(sender) => match self.send_on(sender, entry, plan).await {
                 // The upstream had closed the idle connection; nothing was sent.
@@ -347,7 +417,11 @@
         self.check(entry, answer)
     }
 
-    async fn send_fresh(&self, entry: &UpstreamEntry, plan: &AttemptPlan) -> Result<OpenAnswer, AttemptFailure> {
+    async fn send_fresh(
+        &self,
+        entry: &UpstreamEntry,
+        plan: &AttemptPlan,
+    ) -> Result<OpenAnswer, AttemptFailure> {
         match connect(entry.address).await {
             Ok(sender) => self.send_on(sender, entry, plan).await,
             Err(err) => {
@@ -373,7 +447,12 @@
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let head = self.gateway.parts.upstream.read_answer(&parts);
-                Ok(OpenAnswer { sender, head, parts, body })
+                Ok(OpenAnswer {
+                    sender,
+                    head,
+                    parts,
+                    body,
+                })
             }
             Ok(Err(mut err)) => {
                 let is_sent = err.take_message().is_none();
@@ -382,7 +461,11 @@
                     request = self.head.attempt_id, upstream:% = entry.id, error:% = error, sent = is_sent;
                     "no answer from the upstream"
                 );
-                Err(if is_sent { AttemptFailure::Broken } else { AttemptFailure::NotSent })
+                Err(if is_sent {
+                    AttemptFailure::Broken
+                } else {
+                    AttemptFailure::NotSent
+                })
             }
             Err(_) => Err(AttemptFailure::TimedOut),
         }
@@ -395,7 +478,9 @@
         time_left: Duration,
     ) -> Request<Full<Bytes>> {
         let customer = self.owner.as_ref();
-        let rank = customer.and_then(|owner| owner.priority).unwrap_or(self.route.priority);
+        let rank = customer
+            .and_then(|owner| owner.priority)
+            .unwrap_or(self.route.priority);
         let attempt = AttemptHead {
             upstream: &entry.id,
             customer: customer.map(|owner| &owner.customer),
@@ -407,7 +492,11 @@
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
-        *request.headers_mut() = self.gateway.parts.upstream.attempt_headers(&self.parts.headers, &attempt);
+        *request.headers_mut() = self
+            .gateway
+            .parts
+            .upstream
+            .attempt_headers(&self.parts.headers, &attempt);
         if let Some(path) = self.parts.uri.path_and_query() {
             *request.uri_mut() = path.clone().into();
         }
@@ -421,7 +510,10 @@
             let now = self.gateway.now();
             self.gateway.state().upstream(&entry.id).record_report(load, now);
         }
-        let is_foreign = head.attempt_id.as_ref().is_some_and(|id| *id != self.head.attempt_id);
+        let is_foreign = head
+            .attempt_id
+            .as_ref()
+            .is_some_and(|id| *id != self.head.attempt_id);
         if is_foreign {
             log::warn!(
                 request = self.head.attempt_id, upstream:% = entry.id, answer_to = head.attempt_id.as_deref();
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -75,8 +75,11 @@
                 Some(Candidate { entry, state })
             })
             .collect();
-        let healthy: Vec<Candidate<'a>> =
-            listed.iter().copied().filter(|candidate| candidate.state.is_usable(now)).collect();
+        let healthy: Vec<Candidate<'a>> = listed
+            .iter()
+            .copied()
+            .filter(|candidate| candidate.state.is_usable(now))
+            .collect();
         if healthy.is_empty() { listed } else { healthy }
     }
 
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -59,7 +59,11 @@
     if !stream.answer.parts.status.is_success() {
         return deliver_failure(call, stream).await;
     }
-    let headers = call.gateway.parts.upstream.answer_headers(&stream.answer.parts.headers);
+    let headers = call
+        .gateway
+        .parts
+        .upstream
+        .answer_headers(&stream.answer.parts.headers);
     let (sender, receiver) = mpsc::channel(EVENTS_HELD);
     let mut response = Response::new(BodyExt::boxed(StreamBody::new(ReceiverStream::new(receiver))));
     *response.status_mut() = stream.answer.parts.status;
@@ -97,7 +101,9 @@
 async fn open_after(call: &mut Call, last_event: Option<u64>) -> Option<OpenStream> {
     let mut source = read_prompt(call).await;
     while call.may_send() {
-        let Some((entry, unread)) = choose_runner(call, source.is_some()) else { break };
+        let Some((entry, unread)) = choose_runner(call, source.is_some()) else {
+            break;
+        };
         let plan = AttemptPlan {
             kv_source: source.as_ref().map(|handle| handle.source.clone()),
             last_event,
@@ -159,7 +165,14 @@
             if failure != AttemptFailure::NotSent {
                 call.ledger.count_sent();
             }
-            call.note_failure(&entry, if failure.may_have_run() { AttemptFailure::NotRun } else { failure });
+            call.note_failure(
+                &entry,
+                if failure.may_have_run() {
+                    AttemptFailure::NotRun
+                } else {
+                    failure
+                },
+            );
             return None;
         }
     };
@@ -190,7 +203,9 @@
     let point = call.point();
     let state = call.gateway.state();
     let candidates = state.candidates(&call.service, |_| true, &call.tried, point.now);
-    let has_generator = candidates.iter().any(|candidate| candidate.entry.role == UpstreamRole::Decode);
+    let has_generator = candidates
+        .iter()
+        .any(|candidate| candidate.entry.role == UpstreamRole::Decode);
     let (entry, unread) = pick_reader(&candidates, prompt, point)?;
     if entry.role != UpstreamRole::Prefill || !has_generator {
         return None;
@@ -229,8 +244,17 @@
 async fn relay(mut call: Call, mut stream: OpenStream, sender: EventSender) {
     let mut last_event = call.head.last_event;
     loop {
-        let OpenStream { entry, answer, mut guard } = stream;
-        let OpenAnswer { sender: link, head, body, .. } = answer;
+        let OpenStream {
+            entry,
+            answer,
+            mut guard,
+        } = stream;
+        let OpenAnswer {
+            sender: link,
+            head,
+            body,
+            ..
+        } = answer;
         let end = relay_part(&mut call, body, &mut guard, &sender, &mut last_event).await;
         drop(guard);
         match end {
@@ -299,7 +323,10 @@
             return StreamEnd::Broken;
         }
         while let Some(event) = splitter.next_event() {
+            call.events += 1;
             if !std::mem::replace(&mut has_begun, true) {
+                let now = call.gateway.now();
+                call.first_event_at.get_or_insert(now);
                 call.count_begun();
                 if let Some(prompt) = &call.head.prompt {
                     guard.finish_reading(prompt, call.kv_tokens);
@@ -334,7 +361,9 @@
         tokio::spawn(async move {
             let sent = async {
                 let mut link = connect(address).await?;
-                link.send_request(request.map(http_body_util::Full::new)).await.map_err(std::io::Error::other)
+                link.send_request(request.map(http_body_util::Full::new))
+                    .await
+                    .map_err(std::io::Error::other)
             };
             if let Err(err) = sent.await {
                 log::info!(upstream:% = address, error:% = err; "a handle could not be freed; it expires by itself");
--- a/marigoldlock/src/logging.rs
+++ b/marigoldlock/src/logging.rs
@@ -34,7 +34,9 @@
 /// Starts logging to standard output, one JSON object a line, without ever blocking.
 pub fn init_process(default_filter: &str) {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let thread = std::thread::Builder::new().name("log".into()).spawn(move || write_lines(&receiver));
+    let thread = std::thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_lines(&receiver));
     if let Err(err) = thread {
         eprintln!("no thread for the log, it is written in place: {err}");
         init(default_filter);
--- a/marigoldlock/src/main.rs
+++ b/marigoldlock/src/main.rs
@@ -13,7 +13,11 @@
 /// SIGTERM or SIGINT starts a graceful shutdown: the instance leaves the address answer, lets running
 /// requests finish and ends.
 #[derive(Debug, Parser)]
-#[command(version, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+#[command(
+    version,
+    args_conflicts_with_subcommands = true,
+    subcommand_negates_reqs = true
+)]
 struct Cli {
     #[command(subcommand)]
     command: Option<Command>,
@@ -50,7 +54,9 @@
 
 /// One thread is enough for a share of a core and spares wake-ups between threads.
 fn run_platform(options: PlatformOptions) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(platform_run::run(options))
 }
 
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -56,13 +56,17 @@
 fn reload(options: &PlatformOptions, before: &ProcessSettings) {
     match ProcessSettings::load(&options.settings_file) {
         Ok(after) => log::info!(changed = after != *before; "settings file read again"),
-        Err(err) => log::error!(error:% = err; "the changed settings file can't be used; the old settings stay"),
+        Err(err) => {
+            log::error!(error:% = err; "the changed settings file can't be used; the old settings stay")
+        }
     }
 }
 
 fn parts(settings: &ProcessSettings, metrics_port: u16) -> Result<GatewayParts> {
     let store = PlatformStore::new(settings.store).wrap_err("build the store's client")?;
-    let duties = settings.duties.map(|address| PlatformDuties::new(address, store.http()));
+    let duties = settings
+        .duties
+        .map(|address| PlatformDuties::new(address, store.http()));
     let bounds = settings.bounds;
     Ok(GatewayParts {
         card: MemberCard {
@@ -78,7 +82,11 @@
             directory: settings.directory,
             metrics: Some(SocketAddr::new(settings.ip, metrics_port)),
         },
-        seeds: settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port)).collect(),
+        seeds: settings
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port))
+            .collect(),
         bounds: GatewayBounds {
             budget: BudgetLimits {
                 ratio: bounds.retry_ratio,
--- a/marigoldlock_core/src/gateway/border.rs
+++ b/marigoldlock_core/src/gateway/border.rs
@@ -234,8 +234,12 @@
     async fn list(&self, stream: StoreStream) -> Result<KeyedListing, StoreError>;
 
     /// Records of a keyed stream from `offset` on; waits up to `wait` for the first.
-    async fn follow(&self, stream: StoreStream, offset: u64, wait: Duration)
-    -> Result<KeyedListing, StoreError>;
+    async fn follow(
+        &self,
+        stream: StoreStream,
+        offset: u64,
+        wait: Duration,
+    ) -> Result<KeyedListing, StoreError>;
 
     /// Sets a key of a keyed stream.
     async fn put(&self, stream: StoreStream, key: &str, value: &[u8]) -> Result<(), StoreError>;
--- a/marigoldlock_core/src/gateway/catalog.rs
+++ b/marigoldlock_core/src/gateway/catalog.rs
@@ -85,7 +85,11 @@
 impl UpstreamCatalog {
     /// Takes an entry.
     pub fn put(&mut self, mut entry: UpstreamEntry) -> CatalogChange {
-        if self.left.get(&entry.id).is_some_and(|started| *started == entry.started_ms) {
+        if self
+            .left
+            .get(&entry.id)
+            .is_some_and(|started| *started == entry.started_ms)
+        {
             entry.is_leaving = true;
         }
         if entry.is_leaving {
@@ -130,8 +134,12 @@
 
     /// Takes a whole listing: what it doesn't name is removed.
     pub fn retain(&mut self, ids: &FastSet<String>, now: MonoTime, store_back: Option<MonoTime>) {
-        let missing: Vec<UpstreamId> =
-            self.listed.keys().filter(|id| !ids.contains(id.as_str())).cloned().collect();
+        let missing: Vec<UpstreamId> = self
+            .listed
+            .keys()
+            .filter(|id| !ids.contains(id.as_str()))
+            .cloned()
+            .collect();
         for id in missing {
             self.remove(id.as_str(), now, store_back);
         }
@@ -163,6 +171,7 @@
 
     /// Upstreams of a service that take work.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a UpstreamEntry> {
-        self.entries().filter(move |entry| entry.service == *service && !entry.is_leaving)
+        self.entries()
+            .filter(move |entry| entry.service == *service && !entry.is_leaving)
     }
 }
--- a/marigoldlock_core/src/gateway/choice.rs
+++ b/marigoldlock_core/src/gateway/choice.rs
@@ -16,13 +16,17 @@
 
 /// Surcharge for another data centre, in prompt tokens: bytes between data centres are billed, and a move of
 /// memory takes twice as long there.
-const CROSS_TOKENS: u64 = 6_000;
+const CROSS_TOKENS: u64 = 1_500;
 
 /// Prompt tokens that one more running request is worth: it slows every step of the batch.
 const REQUEST_TOKENS: u64 = 120;
 
-/// Share of a subject's parts that its preferred upstream is assumed to keep for other instances.
-const ASSUMED_KEPT: f64 = 0.6;
+/// How much more a token costs that a generating upstream reads: it reads at half the speed, and each piece that
+/// it reads delays the next token of all that it generates.
+const DECODE_READ_FACTOR: u64 = 8;
+
+/// How much more a token costs than the wait for it: reading also takes time from all that come later.
+const UNREAD_FACTOR: u64 = 2;
 
 /// Surcharge for an upstream whose last attempt failed, in prompt tokens: above any usual queue.
 const SUSPECT_TOKENS: u64 = 30_000;
@@ -69,28 +73,47 @@
 }
 
 /// Upstream that reads a prompt or serves it whole: least work until the prompt is read.
+///
+/// Each subject has one owner that all instances agree on, so that its shared parts are read once and kept
+/// there; others take over only while the owner's queue costs more than reading the parts again.
 pub fn pick_reader<'a>(
     candidates: &[Candidate<'a>],
     prompt: &PromptShape,
     point: ChoicePoint<'_>,
 ) -> Option<(&'a UpstreamEntry, u64)> {
     let subject = prompt.subject().unwrap_or_default();
-    let preferred = preferred_readers(candidates, subject);
-    let shared: u64 = prompt.parts.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum();
+    let readers = candidates
+        .iter()
+        .filter(|candidate| candidate.entry.role != UpstreamRole::Decode);
+    let owner = readers.min_by_key(|candidate| mix(subject, candidate.entry.id.as_str()));
+    let owner = owner.map(|candidate| &candidate.entry.id);
+    let shared: u64 = prompt
+        .parts
+        .iter()
+        .rev()
+        .skip(1)
+        .map(|part| u64::from(part.tokens))
+        .sum();
     candidates
         .iter()
         .map(|candidate| {
             let mut kept = candidate.state.prefix.kept_tokens(&prompt.parts);
-            if kept == 0 && preferred.contains(&candidate.entry.id) {
-                kept = (shared as f64 * ASSUMED_KEPT) as u64;
+            if owner == Some(&candidate.entry.id) {
+                kept = kept.max(shared);
             }
             let unread = u64::from(prompt.prompt_tokens).saturating_sub(kept);
-            let slow = match candidate.entry.role {
-                UpstreamRole::Decode => 2,
+            let factor = match candidate.entry.role {
+                UpstreamRole::Decode => DECODE_READ_FACTOR,
                 UpstreamRole::Prefill | UpstreamRole::Whole => 1,
             };
-            let cost = (candidate.state.reading_tokens() + unread) * slow + surcharge(candidate, point);
-            (cost, mix(subject, candidate.entry.id.as_str()), candidate.entry, unread)
+            let read = (candidate.state.reading_tokens() + unread * UNREAD_FACTOR) * factor;
+            let cost = read + surcharge(candidate, point);
+            (
+                cost,
+                mix(subject, candidate.entry.id.as_str()),
+                candidate.entry,
+                unread,
+            )
         })
         .min_by_key(|&(cost, tie, _, _)| (cost, tie))
         .map(|(_, _, entry, unread)| (entry, unread))
@@ -121,21 +144,6 @@
         + u64::from(candidate.state.is_suspect()) * SUSPECT_TOKENS
 }
 
-/// In each data centre, the upstream that instances agree on for a subject.
-fn preferred_readers(candidates: &[Candidate<'_>], subject: u64) -> FastSet<UpstreamId> {
-    let mut best: FastMap<&DataCentre, (u64, &UpstreamId)> = FastMap::default();
-    for candidate in candidates {
-        let weight = mix(subject, candidate.entry.id.as_str());
-        let slot = best
-            .entry(&candidate.entry.data_centre)
-            .or_insert((weight, &candidate.entry.id));
-        if weight < slot.0 {
-            *slot = (weight, &candidate.entry.id);
-        }
-    }
-    best.into_values().map(|(_, id)| id.clone()).collect()
-}
-
 fn mix(seed: u64, id: &str) -> u64 {
     let mut hasher = FxHasher::default();
     hasher.write_u64(seed);
--- a/marigoldlock_core/src/gateway/clock.rs
+++ b/marigoldlock_core/src/gateway/clock.rs
@@ -27,7 +27,10 @@
 
     /// True time in Unix milliseconds, from the own wall clock and the others'.
     pub fn unix_ms(&self, own_ms: u64, now: MonoTime) -> u64 {
-        let fresh = self.peers.values().filter(|(_, at)| now.since(*at) < CLOCK_LIFETIME);
+        let fresh = self
+            .peers
+            .values()
+            .filter(|(_, at)| now.since(*at) < CLOCK_LIFETIME);
         let mut offsets: Vec<i64> = fresh.map(|(offset, _)| *offset).collect();
         offsets.push(offset(own_ms, now));
         offsets.sort_unstable();
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -113,6 +113,8 @@
     /// True if the duties may be claimed: the last claim is older than `lease`, so that holders never take turns
     /// within it.
     pub fn may_claim(&self, now: MonoTime, lease: Duration) -> bool {
-        self.claim.as_ref().is_none_or(|claim| now.since(claim.read_at) > lease)
+        self.claim
+            .as_ref()
+            .is_none_or(|claim| now.since(claim.read_at) > lease)
     }
 }
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -135,7 +135,10 @@
 
     /// Takes a heartbeat; returns true if the sender was not live before.
     pub fn hear(&mut self, beat: &Heartbeat, now: MonoTime) -> bool {
-        let was_live = self.members.get(&beat.card.id).is_some_and(|known| known.is_live(now));
+        let was_live = self
+            .members
+            .get(&beat.card.id)
+            .is_some_and(|known| known.is_live(now));
         let state = MemberState {
             card: beat.card.clone(),
             stage: beat.stage,
@@ -152,7 +155,8 @@
 
     /// Forgets instances that have been silent for long.
     pub fn expire(&mut self, now: MonoTime) {
-        self.members.retain(|_, member| now.since(member.known_at) < FORGET);
+        self.members
+            .retain(|_, member| now.since(member.known_at) < FORGET);
     }
 
     /// All instances that are known.
@@ -184,6 +188,10 @@
             .filter(|card| Some(card.data_centre.as_str()) == data_centre)
             .collect();
         let chosen = if near.len() >= ENOUGH_NEAR { near } else { cards };
-        chosen.into_iter().map(|card| card.front).take(MOST_ADDRESSES).collect()
+        chosen
+            .into_iter()
+            .map(|card| card.front)
+            .take(MOST_ADDRESSES)
+            .collect()
     }
 }
--- a/marigoldlock_core/src/gateway/route.rs
+++ b/marigoldlock_core/src/gateway/route.rs
@@ -78,7 +78,10 @@
                 return Some(&share.service);
             }
         }
-        self.shares.iter().rfind(|share| share.weight > 0).map(|share| &share.service)
+        self.shares
+            .iter()
+            .rfind(|share| share.weight > 0)
+            .map(|share| &share.service)
     }
 }
 
@@ -170,7 +173,10 @@
         for host in routes.values_mut() {
             host.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
         }
-        let services = services.into_iter().map(|rule| (rule.name.clone(), rule)).collect();
+        let services = services
+            .into_iter()
+            .map(|rule| (rule.name.clone(), rule))
+            .collect();
         Self {
             version,
             routes,
@@ -182,7 +188,10 @@
 
     /// Route with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let rules = self.routes.get(host).or_else(|| self.routes.get(strip_port(host)))?;
+        let rules = self
+            .routes
+            .get(host)
+            .or_else(|| self.routes.get(strip_port(host)))?;
         rules.iter().find(|rule| path.starts_with(&rule.path_prefix))
     }
 
--- a/marigoldlock_core/src/gateway/windows.rs
+++ b/marigoldlock_core/src/gateway/windows.rs
@@ -28,14 +28,24 @@
 impl UsageBook {
     /// Counts a request of this instance.
     pub fn count(&mut self, source: &Source, window: u64, customer: &CustomerId) {
-        let counts = self.windows.entry(window).or_default().entry(source.clone()).or_default();
+        let counts = self
+            .windows
+            .entry(window)
+            .or_default()
+            .entry(source.clone())
+            .or_default();
         *counts.entry(customer.clone()).or_default() += 1;
         self.windows.retain(|kept, _| kept + KEPT_WINDOWS > window);
     }
 
     /// Takes what another instance counted.
     pub fn merge(&mut self, source: &Source, told: &WindowCounts) {
-        let counts = self.windows.entry(told.window).or_default().entry(source.clone()).or_default();
+        let counts = self
+            .windows
+            .entry(told.window)
+            .or_default()
+            .entry(source.clone())
+            .or_default();
         for (customer, count) in &told.counts {
             let known = counts.entry(customer.clone()).or_default();
             *known = (*known).max(*count);
