Change roles by demand and let prompts wait in the gateway

Cause: generators read prompts themselves under load, which slowed every token (137 ms an event against 56), and readers that took every prompt at once lost their shared parts. Ruled out: two generators only (crowded at 28 requests each after a swing); turning several back at once (their kept parts are lost, shared parts read again rose to 3.5M). Change: role planner under the duties' fence with announced changes, order counts from the upstream's report (the entry's count of the same name is of heartbeats), queue by rank with few prompts at a reader.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -13,6 +13,7 @@
 use marigoldlock_core::prelude::*;
 
 use super::Gateway;
+use super::roles::RoleKeeper;
 
 /// Time between two looks at the duties.
 const TICK: Duration = Duration::from_millis(300);
@@ -59,6 +60,7 @@
         failures: 0,
         reported: FastSet::default(),
         started_window: None,
+        roles: RoleKeeper::default(),
     };
     loop {
         tokio::time::sleep(TICK).await;
@@ -72,6 +74,7 @@
     failures: u32,
     reported: FastSet<u64>,
     started_window: Option<u64>,
+    roles: RoleKeeper,
 }
 
 impl DutyKeeper {
@@ -164,6 +167,7 @@
     fn release(&mut self, reason: &str) {
         log::info!(reason; "duties released");
         self.gateway.state().duty_fence = None;
+        self.roles.reset(&self.gateway);
         self.missing_since = None;
         self.failures = 0;
     }
@@ -182,6 +186,10 @@
             self.release("another instance holds a higher fencing number");
             return;
         }
+        if !self.roles.tick(&self.gateway, fence).await {
+            self.release("an upstream has seen a higher fencing number");
+            return;
+        }
         let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
         let current = self.gateway.window(settled);
         let first = *self.started_window.get_or_insert(current.saturating_sub(2));
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod peers;
 mod respond;
+mod roles;
 mod session;
 mod state;
 mod stream;
@@ -20,12 +21,13 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use marigoldlock_core::gateway::border::DirectoryProtocol;
+use marigoldlock_core::gateway::border::{DirectoryProtocol, UpstreamOrders};
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -91,6 +93,8 @@
     pub format: Arc<dyn RecordFormat>,
     /// The platform's duty calls.
     pub duties: Option<Arc<dyn DutyApi>>,
+    /// Orders to upstreams.
+    pub orders: Arc<dyn UpstreamOrders>,
     /// Clocks.
     pub clock: Arc<dyn TimeSource>,
 }
@@ -100,6 +104,8 @@
     parts: GatewayParts,
     state: Mutex<GatewayState>,
     links: Mutex<LinkPool>,
+    /// Told when work at upstreams has changed.
+    work_changed: Notify,
     tracker: TaskTracker,
     closing: CancellationToken,
 }
@@ -137,6 +143,7 @@
         let gateway = Arc::new(Gateway {
             state: Mutex::new(state),
             links: Mutex::new(LinkPool::default()),
+            work_changed: Notify::new(),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
             parts,
--- a/marigoldlock/src/gateway/peers.rs
+++ b/marigoldlock/src/gateway/peers.rs
@@ -19,7 +19,7 @@
 use super::links::connect;
 
 /// Time between heartbeats: load told to others is at most this old, and a dead instance is missed after a few.
-const HEARTBEAT: Duration = Duration::from_millis(200);
+const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// Largest datagram, in bytes.
 const DATAGRAM_MOST: usize = 60 << 10;
@@ -109,12 +109,14 @@
         settings_version: state.settings.as_ref().map_or(0, |settings| settings.version),
         upstreams_offset: state.upstreams_offset,
         duty_fence: state.duty_fence,
+        changing: state.changing.iter().cloned().collect(),
         work: work
             .take(WORK_TOLD)
             .map(|(id, upstream)| ToldWork {
                 upstream: id.clone(),
                 requests: upstream.own.requests,
                 reading_tokens: upstream.own.reading_tokens,
+                waiting_tokens: upstream.own.waiting_tokens,
             })
             .collect(),
         usage: state
@@ -166,10 +168,13 @@
         let sum = sums.entry(told.upstream.clone()).or_default();
         sum.requests += told.requests;
         sum.reading_tokens += told.reading_tokens;
+        sum.waiting_tokens += told.waiting_tokens;
     }
     for (id, upstream) in &mut state.upstreams {
         upstream.peers = sums.remove(id).unwrap_or_default();
     }
+    drop(state);
+    gateway.work_changed.notify_waiters();
 }
 
 /// Asks other instances for what this one has missed.
--- /dev/null
+++ b/marigoldlock/src/gateway/roles.rs
@@ -0,0 +1,125 @@
+//! Orders engines to change their role, under the duties' fencing number.
+
+use std::time::Duration;
+
+use marigoldlock_core::gateway::border::{DutyHolder, DutyOutcome, RoleOrder};
+use marigoldlock_core::gateway::roles::{EngineLoad, RoleChange, RolePlanner};
+use marigoldlock_core::prelude::*;
+
+use crate::logging::DECISION_TARGET;
+
+use super::Gateway;
+
+/// Time between the announcement of a change and its order, so that all instances have stopped to send work there.
+const ANNOUNCE: Duration = Duration::from_millis(300);
+
+/// Plans roles for all services.
+#[derive(Debug, Default)]
+pub struct RoleKeeper {
+    planners: FastMap<ServiceId, RolePlanner>,
+    announced: Vec<(RoleChange, MonoTime)>,
+}
+
+impl RoleKeeper {
+    /// Takes a sample and gives the orders that are due; returns false if the fencing number is too low.
+    pub async fn tick(&mut self, gateway: &Gateway, fence: u64) -> bool {
+        self.plan(gateway);
+        let now = gateway.now();
+        let announced = std::mem::take(&mut self.announced);
+        let (due, later): (Vec<_>, Vec<_>) = announced
+            .into_iter()
+            .partition(|(_, at)| now.since(*at) >= ANNOUNCE);
+        self.announced = later;
+        for (change, _) in due {
+            if !self.order(gateway, fence, &change).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Drops all plans: another instance decides from now on.
+    pub fn reset(&mut self, gateway: &Gateway) {
+        *self = Self::default();
+        gateway.state().changing.clear();
+    }
+
+    fn plan(&mut self, gateway: &Gateway) {
+        let now = gateway.now();
+        let mut state = gateway.state();
+        let Some(settings) = state.settings.clone() else {
+            return;
+        };
+        for service in settings.services().filter(|service| service.engine.is_some()) {
+            let engines: Vec<EngineLoad<'_>> = state
+                .catalog
+                .usable(&service.name)
+                .filter_map(|entry| {
+                    let upstream = state.upstreams.get(&entry.id)?;
+                    Some(EngineLoad {
+                        entry,
+                        requests: upstream.own.requests + upstream.peers.requests,
+                        reading_tokens: upstream.reading_tokens(),
+                    })
+                })
+                .collect();
+            let planner = self.planners.entry(service.name.clone()).or_default();
+            for change in planner.plan(&engines, now) {
+                log::info!(
+                    target: DECISION_TARGET,
+                    service:% = service.name, upstream:% = change.upstream, role:? = change.role, engines = engines.len();
+                    "role change planned"
+                );
+                self.announced.push((change, now));
+            }
+        }
+        state.changing = self
+            .planners
+            .values()
+            .flat_map(RolePlanner::changing)
+            .cloned()
+            .collect();
+    }
+
+    async fn order(&mut self, gateway: &Gateway, fence: u64, change: &RoleChange) -> bool {
+        let Some(entry) = gateway.state().catalog.get(change.upstream.as_str()).cloned() else {
+            return true;
+        };
+        let report = match gateway.parts.orders.report(&entry).await {
+            Ok(report) if !report.is_busy => report,
+            Ok(_) => return self.withdraw(change, "it carries out another order"),
+            Err(err) => return self.withdraw(change, &err.to_string()),
+        };
+        let holder = DutyHolder {
+            instance: gateway.parts.card.id.as_str(),
+            fence,
+        };
+        let order = RoleOrder {
+            upstream: &entry.id,
+            address: entry.address,
+            role: change.role,
+            accepted_before: report.accepted,
+        };
+        let outcome = gateway.parts.orders.change_role(holder, &order).await;
+        log::info!(
+            target: DECISION_TARGET,
+            upstream:% = entry.id, role:? = change.role, fence, accepted_before = report.accepted, outcome:? = outcome;
+            "role ordered"
+        );
+        match outcome {
+            // Whether an unanswered order took effect shows in the upstream's entry.
+            DutyOutcome::Accepted | DutyOutcome::NoAnswer(_) => true,
+            DutyOutcome::Refused(reason) => self.withdraw(change, &reason),
+            DutyOutcome::Fenced => false,
+        }
+    }
+
+    /// Takes back a change whose order did nothing.
+    fn withdraw(&mut self, change: &RoleChange, reason: &str) -> bool {
+        log::info!(upstream:% = change.upstream, reason; "role change withdrawn");
+        for planner in self.planners.values_mut() {
+            planner.cancel(&change.upstream);
+        }
+        true
+    }
+}
--- a/marigoldlock/src/gateway/session.rs
+++ b/marigoldlock/src/gateway/session.rs
@@ -179,6 +179,12 @@
         self.deadline.since(self.gateway.now())
     }
 
+    /// Rank among requests, 0 to 9; a customer's own goes before the route's.
+    pub fn rank(&self) -> u8 {
+        let owner = self.owner.as_ref().and_then(|owner| owner.priority);
+        owner.unwrap_or(self.route.priority).min(9)
+    }
+
     /// Where and when an upstream is chosen.
     pub fn point(&self) -> ChoicePoint<'_> {
         ChoicePoint {
@@ -478,9 +484,6 @@
         time_left: Duration,
     ) -> Request<Full<Bytes>> {
         let customer = self.owner.as_ref();
-        let rank = customer
-            .and_then(|owner| owner.priority)
-            .unwrap_or(self.route.priority);
         let attempt = AttemptHead {
             upstream: &entry.id,
             customer: customer.map(|owner| &owner.customer),
@@ -488,7 +491,7 @@
             last_event: plan.last_event,
             kv_source: plan.kv_source.as_ref(),
             is_prefill: plan.is_prefill,
-            priority: rank.min(9),
+            priority: self.rank(),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use marigoldlock_core::gateway::duty::DutyLedger;
 use marigoldlock_core::gateway::members::{MemberStage, MemberTable};
 use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::queue::ReaderQueue;
 use marigoldlock_core::gateway::state::UpstreamState;
 use marigoldlock_core::gateway::windows::UsageBook;
 use marigoldlock_core::prelude::*;
@@ -51,6 +52,10 @@
     pub ledger: DutyLedger,
     /// Fencing number, while this instance holds the duties.
     pub duty_fence: Option<u64>,
+    /// Upstreams that this instance has ordered to change their role.
+    pub changing: FastSet<UpstreamId>,
+    /// Requests that wait for a reader.
+    pub queue: ReaderQueue,
     /// Last return of the store; `None` before the first loss.
     pub store_back: Option<MonoTime>,
     /// False while calls to the store fail.
@@ -66,10 +71,13 @@
         tried: &[UpstreamId],
         now: MonoTime,
     ) -> Vec<Candidate<'a>> {
+        let is_changing = |id: &UpstreamId| {
+            self.changing.contains(id) || self.members.live(now).any(|member| member.changing.contains(id))
+        };
         let listed: Vec<Candidate<'a>> = self
             .catalog
             .usable(service)
-            .filter(|entry| role(entry.role) && !tried.contains(&entry.id))
+            .filter(|entry| role(entry.role) && !tried.contains(&entry.id) && !is_changing(&entry.id))
             .filter_map(|entry| {
                 let state = self.upstreams.get(&entry.id)?;
                 Some(Candidate { entry, state })
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 //! the last one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -14,6 +15,7 @@
 use marigoldlock_core::gateway::events::event_id;
 use marigoldlock_core::gateway::outcome::AttemptFailure;
 use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::state::UpstreamState;
 use marigoldlock_core::relay::SseSplitter;
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -25,7 +27,10 @@
 use super::links::connect;
 use super::respond::{AnswerBody, CutError, finish, whole};
 use super::session::{AttemptPlan, Call, OpenAnswer};
-use super::work::WorkGuard;
+use super::work::{WaitGuard, WorkGuard};
+
+/// Longest time between two looks at the queue, in case nothing told of a change.
+const QUEUE_CHECK: Duration = Duration::from_millis(100);
 
 /// Events held for a caller that reads slowly.
 const EVENTS_HELD: usize = 16;
@@ -146,7 +151,7 @@
 
 /// Has the prompt read by an upstream that reads faster, if that is worth it.
 async fn read_prompt(call: &mut Call) -> Option<HandleGuard> {
-    let (entry, unread) = choose_reader(call)?;
+    let (entry, unread) = wait_for_reader(call).await?;
     let plan = AttemptPlan {
         is_prefill: true,
         patience: call.time_left(),
@@ -197,6 +202,31 @@
     }
 }
 
+/// Waits until the upstream that should read the prompt has room; `None` if none should.
+async fn wait_for_reader(call: &Call) -> Option<(UpstreamEntry, u64)> {
+    let rank = call.rank();
+    let ticket = call.gateway.state().queue.ticket(rank);
+    loop {
+        let (entry, unread) = choose_reader(call)?;
+        let guard = WaitGuard::open(&call.gateway, &entry.id, ticket, unread);
+        if guard.may_go() {
+            log_reader(call, &entry, unread);
+            drop(guard);
+            // The next in the queue may find room as well.
+            call.gateway.work_changed.notify_waiters();
+            return Some((entry, unread));
+        }
+        let changed = call.gateway.work_changed.notified();
+        tokio::select! {
+            () = changed => {}
+            () = tokio::time::sleep(call.time_left().min(QUEUE_CHECK)) => {}
+        }
+        if call.time_left().is_zero() {
+            return None;
+        }
+    }
+}
+
 /// Upstream that reads the prompt for another; `None` if the one that generates reads it as well.
 fn choose_reader(call: &Call) -> Option<(UpstreamEntry, u64)> {
     let prompt = call.head.prompt.as_ref()?;
@@ -210,14 +240,23 @@
     if entry.role != UpstreamRole::Prefill || !has_generator {
         return None;
     }
+    Some((entry.clone(), unread))
+}
+
+fn log_reader(call: &Call, entry: &UpstreamEntry, unread: u64) {
+    let now = call.gateway.now();
+    let state = call.gateway.state();
+    let reader = state.upstreams.get(&entry.id);
     log::info!(
         target: DECISION_TARGET,
-        request = call.head.attempt_id, upstream:% = entry.id, candidates = candidates.len(), unread,
-        prompt_tokens = prompt.prompt_tokens,
-        queued_tokens = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.reading_tokens());
+        request = call.head.attempt_id, upstream:% = entry.id, unread,
+        subject = call.head.prompt.as_ref().and_then(PromptShape::subject).unwrap_or_default(),
+        prompt_tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens),
+        queued_tokens = reader.map_or(0, UpstreamState::reading_tokens),
+        requests = reader.map_or(0, |reader| reader.own.requests + reader.peers.requests),
+        waited_ms = now.since(call.arrived).as_millis() as u64;
         "reader chosen"
     );
-    Some((entry.clone(), unread))
 }
 
 /// Upstream that generates, and the prompt tokens that it still has to read.
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -9,8 +9,8 @@
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
-    PlatformCaller, PlatformDirectory, PlatformDuties, PlatformRecords, PlatformStore, PlatformUpstream,
-    ProcessSettings, SETTINGS_VARIABLE,
+    PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
+    PlatformUpstream, ProcessSettings, SETTINGS_VARIABLE,
 };
 use marigoldlock_wire::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
@@ -64,9 +64,10 @@
 
 fn parts(settings: &ProcessSettings, metrics_port: u16) -> Result<GatewayParts> {
     let store = PlatformStore::new(settings.store).wrap_err("build the store's client")?;
+    let http = store.http();
     let duties = settings
         .duties
-        .map(|address| PlatformDuties::new(address, store.http()));
+        .map(|address| PlatformDuties::new(address, http.clone()));
     let bounds = settings.bounds;
     Ok(GatewayParts {
         card: MemberCard {
@@ -104,6 +105,7 @@
         store: Arc::new(store),
         format: Arc::new(PlatformRecords),
         duties: duties.map(|duties| Arc::new(duties) as _),
+        orders: Arc::new(PlatformOrders::new(http)),
         clock: Arc::new(BootClock),
     })
 }
--- a/marigoldlock_core/src/gateway/border.rs
+++ b/marigoldlock_core/src/gateway/border.rs
@@ -13,7 +13,7 @@
 use marigoldlock_wire::prelude::*;
 
 use super::call::{CallHead, CustomerCounts, Refusal};
-use super::catalog::UpstreamEntry;
+use super::catalog::{UpstreamEntry, UpstreamRole};
 use super::route::GatewaySettings;
 
 /// A request, a record or an answer that can't be read.
@@ -311,6 +311,42 @@
     pub is_spot: bool,
 }
 
+/// Order to an upstream to change its role.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleOrder<'a> {
+    /// The upstream.
+    pub upstream: &'a UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The new role.
+    pub role: UpstreamRole,
+    /// Orders that it must have accepted so far; it refuses the order otherwise.
+    pub accepted_before: u64,
+}
+
+/// What an upstream says of its orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderReport {
+    /// Orders that it has accepted since its start.
+    pub accepted: u64,
+    /// True while it carries one out.
+    pub is_busy: bool,
+}
+
+/// Upstreams' interface for orders.
+#[async_trait]
+pub trait UpstreamOrders: Send + Sync {
+    /// Reads what an upstream says of its orders.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer that can be read.
+    async fn report(&self, upstream: &UpstreamEntry) -> Result<OrderReport, FormatError>;
+
+    /// Orders an upstream to change its role.
+    async fn change_role(&self, holder: DutyHolder<'_>, order: &RoleOrder<'_>) -> DutyOutcome;
+}
+
 /// The platform's calls that one instance at a time may make.
 #[async_trait]
 pub trait DutyApi: Send + Sync {
--- a/marigoldlock_core/src/gateway/choice.rs
+++ b/marigoldlock_core/src/gateway/choice.rs
@@ -23,7 +23,7 @@
 
 /// How much more a token costs that a generating upstream reads: it reads at half the speed, and each piece that
 /// it reads delays the next token of all that it generates.
-const DECODE_READ_FACTOR: u64 = 8;
+const DECODE_READ_FACTOR: u64 = 60;
 
 /// How much more a token costs than the wait for it: reading also takes time from all that come later.
 const UNREAD_FACTOR: u64 = 2;
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -58,6 +58,8 @@
     pub requests: u32,
     /// Prompt tokens still to be read there.
     pub reading_tokens: u64,
+    /// Prompt tokens of requests that wait to be sent there.
+    pub waiting_tokens: u64,
 }
 
 /// Heartbeat between instances.
@@ -75,6 +77,8 @@
     pub upstreams_offset: u64,
     /// Fencing number under which it holds the duties.
     pub duty_fence: Option<u64>,
+    /// Upstreams that it has ordered to change their role.
+    pub changing: Vec<UpstreamId>,
     /// Its work at upstreams.
     pub work: Vec<ToldWork>,
     /// Its usage counts of the latest windows.
@@ -94,6 +98,8 @@
     pub upstreams_offset: u64,
     /// Fencing number under which it holds the duties.
     pub duty_fence: Option<u64>,
+    /// Upstreams that it has ordered to change their role.
+    pub changing: Vec<UpstreamId>,
     /// Its work at upstreams.
     pub work: Vec<ToldWork>,
     /// Last heartbeat; `None` if it is only known from the store.
@@ -125,6 +131,7 @@
             settings_version: 0,
             upstreams_offset: 0,
             duty_fence: None,
+            changing: Vec::new(),
             work: Vec::new(),
             heard_at: None,
             known_at: now,
@@ -145,6 +152,7 @@
             settings_version: beat.settings_version,
             upstreams_offset: beat.upstreams_offset,
             duty_fence: beat.duty_fence,
+            changing: beat.changing.clone(),
             work: beat.work.clone(),
             heard_at: Some(now),
             known_at: now,
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -16,6 +16,8 @@
 pub mod members;
 pub mod outcome;
 pub mod prefix;
+pub mod queue;
+pub mod roles;
 pub mod route;
 pub mod state;
 pub mod windows;
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -27,8 +27,10 @@
 pub struct WorkInFlight {
     /// Requests.
     pub requests: u32,
-    /// Prompt tokens that are still to be read.
+    /// Prompt tokens that are still to be read there.
     pub reading_tokens: u64,
+    /// Prompt tokens of requests that wait to be sent there.
+    pub waiting_tokens: u64,
 }
 
 /// Load and health of one upstream.
@@ -103,8 +105,11 @@
         }
     }
 
-    /// Prompt tokens that are still to be read there.
+    /// Prompt tokens that are still to be read there, with those of requests that wait to be sent.
     pub fn reading_tokens(&self) -> u64 {
-        self.own.reading_tokens + self.peers.reading_tokens
+        self.own.reading_tokens
+            + self.own.waiting_tokens
+            + self.peers.reading_tokens
+            + self.peers.waiting_tokens
     }
 }
