Refuse at once what would wait beyond its objective

Ruled out: a longer queue, which makes all late; refusal without a rate learned, which would need a constant.

--- a/marigoldlock/src/gateway/session.rs
+++ b/marigoldlock/src/gateway/session.rs
@@ -234,16 +234,30 @@
         }
     }
 
-    /// The answer when nothing more is sent.
-    pub fn give_up(&self) -> Response<AnswerBody> {
-        let cause = self.ledger.refusal(self.time_left().is_zero());
-        let mut refusal = Refusal::new(cause);
-        if cause.is_not_run() {
-            refusal = refusal.retry_after(COME_BACK);
+    /// The refusal when nothing more is sent.
+    pub fn refusal(&self) -> Refusal {
+        let refusal = Refusal::new(self.ledger.refusal(self.time_left().is_zero()));
+        if refusal.cause.is_not_run() {
+            refusal.retry_after(COME_BACK)
+        } else {
+            refusal
         }
+    }
+
+    /// Answers with a refusal.
+    pub fn refuse(&self, refusal: Refusal) -> Response<AnswerBody> {
         refuse(&self.gateway, &self.head, Some(&self.route.name), refusal)
     }
 
+    /// Requests at an upstream, as far as is known.
+    pub fn requests_at(&self, entry: &UpstreamEntry) -> u32 {
+        let state = self.gateway.state();
+        state
+            .upstreams
+            .get(&entry.id)
+            .map_or(0, |upstream| upstream.own.requests + upstream.peers.requests)
+    }
+
     /// Logs the end of the request.
     pub fn log_done(&self, outcome: &str, status: StatusCode) {
         let elapsed = self.gateway.now().since(self.arrived);
@@ -320,7 +334,7 @@
         }
         match fallback {
             Some(answer) => self.deliver(answer),
-            None => self.give_up(),
+            None => self.refuse(self.refusal()),
         }
     }
 
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use marigoldlock_core::gateway::admission::ReadRate;
 use marigoldlock_core::gateway::budget::RetryBudget;
 use marigoldlock_core::gateway::choice::Candidate;
 use marigoldlock_core::gateway::clock::TrueClock;
@@ -56,6 +57,8 @@
     pub changing: FastSet<UpstreamId>,
     /// Requests that wait for a reader.
     pub queue: ReaderQueue,
+    /// Reading rate of each service's engines.
+    pub rates: FastMap<ServiceId, ReadRate>,
     /// Last return of the store; `None` before the first loss.
     pub store_back: Option<MonoTime>,
     /// False while calls to the store fail.
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use marigoldlock_core::gateway::admission::come_back;
 use marigoldlock_core::gateway::choice::{pick_generator, pick_reader};
 use marigoldlock_core::gateway::events::event_id;
 use marigoldlock_core::gateway::outcome::AttemptFailure;
@@ -58,8 +59,9 @@
 
 /// Serves a request whose answer is a stream.
 pub async fn serve(mut call: Call) -> Response<AnswerBody> {
-    let Some(stream) = open(&mut call).await else {
-        return call.give_up();
+    let stream = match open(&mut call).await {
+        Ok(stream) => stream,
+        Err(refusal) => return call.refuse(refusal),
     };
     if !stream.answer.parts.status.is_success() {
         return deliver_failure(call, stream).await;
@@ -92,19 +94,43 @@
         }
         Err(failure) => {
             call.note_failure(&entry, failure);
-            call.give_up()
+            call.refuse(call.refusal())
         }
     }
 }
 
+/// What was found for the reading of a prompt.
+enum ReaderChoice {
+    /// An upstream with room, and the tokens that it has to read.
+    Reader(UpstreamEntry, u64),
+    /// None is needed, or none is there.
+    Unneeded,
+    /// All are busy for too long; the caller may come back after this time.
+    Busy(Duration),
+}
+
 /// Finds an upstream that begins to answer.
-async fn open(call: &mut Call) -> Option<OpenStream> {
+async fn open(call: &mut Call) -> Result<OpenStream, Refusal> {
     let last_event = call.head.last_event;
-    open_after(call, last_event).await
+    match wait_for_reader(call, true).await {
+        ReaderChoice::Busy(after) => Err(Refusal::new(RefusalCause::Busy).retry_after(after)),
+        reader => open_with(call, reader, last_event)
+            .await
+            .ok_or_else(|| call.refusal()),
+    }
+}
+
+/// Finds an upstream that goes on after an event.
+async fn reopen(call: &mut Call, last_event: Option<u64>) -> Option<OpenStream> {
+    let reader = wait_for_reader(call, false).await;
+    open_with(call, reader, last_event).await
 }
 
-async fn open_after(call: &mut Call, last_event: Option<u64>) -> Option<OpenStream> {
-    let mut source = read_prompt(call).await;
+async fn open_with(call: &mut Call, reader: ReaderChoice, last_event: Option<u64>) -> Option<OpenStream> {
+    let mut source = match reader {
+        ReaderChoice::Reader(entry, unread) => read_prompt(call, &entry, unread).await,
+        ReaderChoice::Unneeded | ReaderChoice::Busy(_) => None,
+    };
     while call.may_send() {
         let Some((entry, unread)) = choose_runner(call, source.is_some()) else {
             break;
@@ -150,16 +176,17 @@
 }
 
 /// Has the prompt read by an upstream that reads faster, if that is worth it.
-async fn read_prompt(call: &mut Call) -> Option<HandleGuard> {
-    let (entry, unread) = wait_for_reader(call).await?;
+async fn read_prompt(call: &mut Call, entry: &UpstreamEntry, unread: u64) -> Option<HandleGuard> {
+    let started = call.gateway.now();
+    let requests = call.requests_at(entry) + 1;
     let plan = AttemptPlan {
         is_prefill: true,
         patience: call.time_left(),
         ..AttemptPlan::default()
     };
     let mut guard = WorkGuard::open(&call.gateway, &entry.id, unread);
-    let result = match call.send(&entry, &plan).await {
-        Ok(answer) if answer.parts.status.is_success() => call.read_whole(&entry, answer).await,
+    let result = match call.send(entry, &plan).await {
+        Ok(answer) if answer.parts.status.is_success() => call.read_whole(entry, answer).await,
         Ok(_) => Err(AttemptFailure::Errored),
         Err(failure) => Err(failure),
     };
@@ -171,7 +198,7 @@
                 call.ledger.count_sent();
             }
             call.note_failure(
-                &entry,
+                entry,
                 if failure.may_have_run() {
                     AttemptFailure::NotRun
                 } else {
@@ -185,6 +212,13 @@
         Ok(answer) => {
             if let Some(prompt) = &call.head.prompt {
                 guard.finish_reading(prompt, call.kv_tokens);
+                let elapsed = call.gateway.now().since(started);
+                let mut state = call.gateway.state();
+                state
+                    .rates
+                    .entry(call.service.clone())
+                    .or_default()
+                    .record(unread, elapsed, requests);
             }
             Some(HandleGuard {
                 gateway: Arc::clone(&call.gateway),
@@ -202,19 +236,25 @@
     }
 }
 
-/// Waits until the upstream that should read the prompt has room; `None` if none should.
-async fn wait_for_reader(call: &Call) -> Option<(UpstreamEntry, u64)> {
-    let rank = call.rank();
-    let ticket = call.gateway.state().queue.ticket(rank);
+/// Waits until the upstream that should read the prompt has room; gives up early only if `may_refuse`.
+async fn wait_for_reader(call: &Call, may_refuse: bool) -> ReaderChoice {
+    let ticket = call.gateway.state().queue.ticket(call.rank());
+    let mut is_new = true;
     loop {
-        let (entry, unread) = choose_reader(call)?;
+        let Some((entry, unread)) = choose_reader(call) else {
+            return ReaderChoice::Unneeded;
+        };
+        if may_refuse && let Some(after) = come_back_after(call, &entry, unread, is_new) {
+            return ReaderChoice::Busy(after);
+        }
+        is_new = false;
         let guard = WaitGuard::open(&call.gateway, &entry.id, ticket, unread);
         if guard.may_go() {
             log_reader(call, &entry, unread);
             drop(guard);
             // The next in the queue may find room as well.
             call.gateway.work_changed.notify_waiters();
-            return Some((entry, unread));
+            return ReaderChoice::Reader(entry, unread);
         }
         let changed = call.gateway.work_changed.notified();
         tokio::select! {
@@ -222,11 +262,33 @@
             () = tokio::time::sleep(call.time_left().min(QUEUE_CHECK)) => {}
         }
         if call.time_left().is_zero() {
-            return None;
+            return ReaderChoice::Unneeded;
         }
     }
 }
 
+/// When the caller should come back, if the reader's queue is too long for its objective. Once a request waits,
+/// only the time that it has waited counts: part of the queue stands behind it.
+fn come_back_after(call: &Call, entry: &UpstreamEntry, unread: u64, is_new: bool) -> Option<Duration> {
+    let waited = call.gateway.now().since(call.arrived);
+    let state = call.gateway.state();
+    let queued = state
+        .upstreams
+        .get(&entry.id)
+        .map_or(0, UpstreamState::reading_tokens);
+    let rate = state.rates.get(&call.service).copied().unwrap_or_default();
+    let ahead = if is_new { queued + unread } else { unread };
+    let expected = rate.time_for(ahead);
+    let after = come_back(waited, expected, call.route.target_latency)?;
+    log::info!(
+        target: DECISION_TARGET,
+        request = call.head.attempt_id, upstream:% = entry.id, queued, unread,
+        waited_ms = waited.as_millis() as u64, expected_ms = expected.as_millis() as u64;
+        "readers are busy"
+    );
+    Some(after)
+}
+
 /// Upstream that reads the prompt for another; `None` if the one that generates reads it as well.
 fn choose_reader(call: &Call) -> Option<(UpstreamEntry, u64)> {
     let prompt = call.head.prompt.as_ref()?;
@@ -314,7 +376,7 @@
         }
         drop(link);
         let opened = tokio::select! {
-            opened = open_after(&mut call, last_event) => opened,
+            opened = reopen(&mut call, last_event) => opened,
             () = sender.closed() => None,
         };
         match opened {
--- a/marigoldlock_core/src/gateway/call.rs
+++ b/marigoldlock_core/src/gateway/call.rs
@@ -64,6 +64,8 @@
     NotReady,
     /// No upstream can take it now; it has not run.
     NoUpstream,
+    /// All upstreams are busy for longer than it should wait; it has not run.
+    Busy,
     /// Its deadline can't be met; it has not run.
     TooLate,
     /// Every upstream that was asked turned it away; it has not run.
@@ -84,6 +86,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::NotReady => "not_ready",
             Self::NoUpstream => "no_upstream",
+            Self::Busy => "busy",
             Self::TooLate => "too_late",
             Self::TurnedAway => "turned_away",
             Self::OutcomeUnknown => "outcome_unknown",
@@ -95,7 +98,7 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotReady | Self::NoUpstream | Self::TooLate | Self::TurnedAway
+            Self::NotReady | Self::NoUpstream | Self::Busy | Self::TooLate | Self::TurnedAway
         )
     }
 }
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! both through the traits in [`border`]. Everything here is pure: time is passed in, and the program
 //! carries out what these modules decide.
 
+pub mod admission;
 pub mod border;
 pub mod budget;
 pub mod call;
