Order cheap capacity beside half of the ordinary upstreams

Ruled out: cheap upstreams alone (all of a data centre go at once); counting the base while entries still come in (5 were ordered, then 4). Change: capacity planner and keeper under the duties' fence; generators of a grown fleet capped by data centres.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -13,6 +13,7 @@
 use marigoldlock_core::prelude::*;
 
 use super::Gateway;
+use super::capacity::CapacityKeeper;
 use super::roles::RoleKeeper;
 
 /// Time between two looks at the duties.
@@ -61,6 +62,7 @@
         reported: FastSet::default(),
         started_window: None,
         roles: RoleKeeper::default(),
+        capacity: CapacityKeeper::default(),
     };
     loop {
         tokio::time::sleep(TICK).await;
@@ -75,6 +77,7 @@
     reported: FastSet<u64>,
     started_window: Option<u64>,
     roles: RoleKeeper,
+    capacity: CapacityKeeper,
 }
 
 impl DutyKeeper {
@@ -190,6 +193,10 @@
             self.release("an upstream has seen a higher fencing number");
             return;
         }
+        if !self.capacity.tick(&self.gateway, fence).await {
+            self.release("the platform has seen a higher fencing number");
+            return;
+        }
         let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
         let current = self.gateway.window(settled);
         let first = *self.started_window.get_or_insert(current.saturating_sub(2));
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! decisions. One task serves each caller's connection; what they share stands in [`GatewayState`] behind one
 //! lock that is never held across an await.
 
+mod capacity;
 mod duties;
 mod follow;
 mod front;
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod border;
 pub mod budget;
 pub mod call;
+pub mod capacity;
 pub mod catalog;
 pub mod choice;
 pub mod clock;
--- a/marigoldlock_core/src/gateway/roles.rs
+++ b/marigoldlock_core/src/gateway/roles.rs
@@ -24,7 +24,7 @@
 /// Fewest generators: one may be lost at any moment.
 const GENERATORS_LEAST: usize = 2;
 
-/// Share of a service's engines that generate in any case, so that a swing of the mix finds some.
+/// Share of a service's engines that generate in any case, up to one for each data centre.
 const GENERATORS_SHARE: usize = 4;
 
 /// Fewest readers, likewise.
@@ -117,7 +117,9 @@
             .values()
             .filter(|ordered| ordered.role == UpstreamRole::Prefill)
             .count();
-        let least = GENERATORS_LEAST.max(engines.len().div_ceil(GENERATORS_SHARE));
+        let places: FastSet<&DataCentre> = engines.iter().map(|engine| &engine.entry.data_centre).collect();
+        let share = engines.len().div_ceil(GENERATORS_SHARE).min(places.len());
+        let least = GENERATORS_LEAST.max(share);
         let wanted = least.max((self.generating / REQUESTS_PER_GENERATOR).ceil() as usize + 1);
         let have = generators.len() + coming;
         let room = (engines.len() / CHANGING_SHARE)
