--- /dev/null
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -0,0 +1,57 @@
+//! Tests of the gateway's decisions.
+
+mod choice;
+mod duty;
+mod load;
+mod members;
+mod requests;
+mod upstreams;
+
+use std::time::Duration;
+
+use marigoldlock_wire::prelude::*;
+
+use super::call::{PromptPart, PromptShape};
+use super::catalog::{UpstreamEntry, UpstreamRole};
+use crate::time::MonoTime;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(100_000 + millis)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(id: &str, data_centre: &str, role: UpstreamRole) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::from(id),
+        service: ServiceId::from("llm"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: DataCentre::from(data_centre),
+        slots: 64,
+        is_leaving: false,
+        role,
+        started_ms: Some(1),
+        is_spot: false,
+    }
+}
+
+/// A prompt whose subject has `shared` tokens, with `own` of its own.
+fn prompt(subject: u64, shared: u32, own: u32) -> PromptShape {
+    PromptShape {
+        prompt_tokens: shared + own,
+        output_tokens: 20,
+        output_hint: None,
+        parts: vec![
+            PromptPart {
+                id: subject,
+                tokens: shared,
+            },
+            PromptPart {
+                id: subject + 1_000_000,
+                tokens: own,
+            },
+        ],
+    }
+}
--- /dev/null
+++ b/marigoldlock_core/src/gateway/tests/requests.rs
@@ -0,0 +1,164 @@
+//! Routes, outcomes and the retry budget.
+
+use marigoldlock_wire::prelude::*;
+
+use super::{at, millis};
+use crate::gateway::budget::{BudgetLimits, RetryBudget};
+use crate::gateway::call::RefusalCause;
+use crate::gateway::events::event_id;
+use crate::gateway::outcome::{AttemptFailure, AttemptLedger};
+use crate::gateway::route::{CallKind, CallerLimits, GatewaySettings, KeyOwner, RouteRule, TrafficShare};
+
+const STREAM: CallKind = CallKind::Stream { resumable: false };
+const RESUMABLE: CallKind = CallKind::Stream { resumable: true };
+
+fn rule(name: &str, prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: "shop.example".into(),
+        path_prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout: millis(1_000),
+        target_latency: millis(100),
+        gap_target: None,
+        priority: 1,
+        shares: shares
+            .iter()
+            .map(|(service, weight)| TrafficShare {
+                service: ServiceId::from(*service),
+                weight: *weight,
+            })
+            .collect(),
+        max_attempts: 2,
+        is_anonymous: false,
+    }
+}
+
+fn settings(rules: Vec<RouteRule>) -> GatewaySettings {
+    let owner = KeyOwner {
+        customer: CustomerId::from("acme"),
+        priority: None,
+    };
+    let keys = [("k1".to_owned(), owner)].into_iter().collect();
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout: millis(3_000),
+        idle_timeout: millis(15_000),
+    };
+    GatewaySettings::new(7, rules, Vec::new(), Some(keys), limits)
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let settings = settings(vec![rule("short", "/a/", &[("s", 1)]), rule("long", "/a/b/", &[("s", 1)])]);
+    let name = |host: &str, path: &str| settings.route(host, path).map(|rule| rule.name.clone());
+    assert_eq!(name("shop.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("shop.example:8080", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("shop.example", "/a"), None);
+    assert_eq!(name("other.example", "/a/x"), None);
+}
+
+#[test]
+fn keys_name_their_customer() {
+    let settings = settings(Vec::new());
+    assert_eq!(settings.key_owner("k1").unwrap().customer.as_str(), "acme");
+    assert!(settings.key_owner("k2").is_none());
+}
+
+#[test]
+fn shares_follow_their_weights() {
+    let rule = rule("split", "/", &[("a", 90), ("b", 10), ("c", 0)]);
+    let draws = (0..1_000).map(|draw| rule.service(f64::from(draw) / 1_000.0).unwrap().clone());
+    let mut counts: FastMap<ServiceId, u32> = FastMap::default();
+    for service in draws {
+        *counts.entry(service).or_default() += 1;
+    }
+    assert_eq!(counts[&ServiceId::from("a")], 900);
+    assert_eq!(counts[&ServiceId::from("b")], 100);
+    assert!(!counts.contains_key(&ServiceId::from("c")));
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again_unless_it_may_repeat() {
+    for failure in [AttemptFailure::Broken, AttemptFailure::TimedOut, AttemptFailure::Errored] {
+        let mut ledger = AttemptLedger::default();
+        ledger.count_sent();
+        ledger.record(failure);
+        assert!(!ledger.may_send(CallKind::NonIdempotent, 3), "{failure:?}");
+        assert!(!ledger.may_send(STREAM, 3), "{failure:?}");
+        assert!(ledger.may_send(CallKind::Idempotent, 3), "{failure:?}");
+        assert!(ledger.may_send(RESUMABLE, 3), "{failure:?}");
+        assert!(!ledger.refusal(false).is_not_run(), "{failure:?}");
+        assert!(!ledger.refusal(true).is_not_run(), "{failure:?}");
+    }
+}
+
+#[test]
+fn a_request_that_did_not_run_may_go_elsewhere_within_its_attempts() {
+    for failure in [AttemptFailure::NotRun, AttemptFailure::OtherUpstream] {
+        let mut ledger = AttemptLedger::default();
+        ledger.count_sent();
+        ledger.record(failure);
+        assert!(ledger.may_send(CallKind::NonIdempotent, 2));
+        assert!(!ledger.may_send(CallKind::NonIdempotent, 1));
+        assert_eq!(ledger.refusal(false), RefusalCause::TurnedAway);
+    }
+    let ledger = AttemptLedger::default();
+    assert_eq!(ledger.refusal(false), RefusalCause::NoUpstream);
+    assert_eq!(ledger.refusal(true), RefusalCause::TooLate);
+}
+
+#[test]
+fn one_attempt_that_may_have_run_outweighs_all_that_did_not() {
+    let mut ledger = AttemptLedger::default();
+    for failure in [AttemptFailure::Broken, AttemptFailure::NotRun, AttemptFailure::NotSent] {
+        ledger.count_sent();
+        ledger.record(failure);
+    }
+    assert_eq!(ledger.refusal(false), RefusalCause::OutcomeUnknown);
+    assert_eq!(ledger.refusal(true), RefusalCause::TimedOut);
+}
+
+#[test]
+fn instances_together_keep_the_retry_budget() {
+    let limits = BudgetLimits {
+        ratio: 0.2,
+        slack: 56.0,
+        window: millis(10_000),
+    };
+    for instances in [1_usize, 8, 40, 400] {
+        let mut repeats = 0;
+        for _ in 0..instances {
+            let mut budget = RetryBudget::default();
+            for request in 0..50 {
+                budget.count_request(at(request * 10), &limits);
+            }
+            repeats += (0..200).filter(|_| budget.try_repeat(at(600), &limits, instances)).count();
+        }
+        let allowed = 0.2 * 50.0 * instances as f64 + 56.0;
+        assert!(repeats as f64 <= allowed, "{instances} instances: {repeats} of {allowed}");
+    }
+}
+
+#[test]
+fn the_budget_returns_with_the_window() {
+    let limits = BudgetLimits {
+        ratio: 0.0,
+        slack: 5.0,
+        window: millis(10_000),
+    };
+    let mut budget = RetryBudget::default();
+    let spent = (0..10).filter(|_| budget.try_repeat(at(0), &limits, 1)).count();
+    assert_eq!(spent, 4);
+    assert!(!budget.try_repeat(at(9_999), &limits, 1));
+    assert!(budget.try_repeat(at(10_001), &limits, 1));
+}
+
+#[test]
+fn event_ids_are_read_and_other_lines_passed_over() {
+    assert_eq!(event_id(b"id: 12\ndata: x\n\n"), Some(12));
+    assert_eq!(event_id(b"weight-versions: 3\nid:4\r\ndata: id: 9\n\n"), Some(4));
+    assert_eq!(event_id(b"data: x\n\n"), None);
+    assert_eq!(event_id(b"id: twelve\n\n"), None);
+}
--- /dev/null
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -0,0 +1,117 @@
+//! Listing, health and kept prompt parts of upstreams.
+
+use marigoldlock_wire::prelude::*;
+
+use super::{at, entry, millis, prompt};
+use crate::gateway::border::LoadReport;
+use crate::gateway::catalog::{CatalogChange, RETURN_GRACE, UpstreamCatalog, UpstreamRole};
+use crate::gateway::prefix::PrefixSet;
+use crate::gateway::state::UpstreamState;
+
+fn usable(catalog: &UpstreamCatalog) -> usize {
+    catalog.usable(&ServiceId::from("llm")).count()
+}
+
+#[test]
+fn an_upstream_that_leaves_gets_no_work_and_does_not_come_back_under_its_start() {
+    let mut catalog = UpstreamCatalog::default();
+    assert_eq!(catalog.put(entry("u1", "a", UpstreamRole::Whole)), CatalogChange::Started);
+    let mut leaving = entry("u1", "a", UpstreamRole::Whole);
+    leaving.is_leaving = true;
+    assert_eq!(catalog.put(leaving), CatalogChange::Leaving);
+    assert_eq!(usable(&catalog), 0);
+    // A stale entry of the same start arrives late.
+    catalog.put(entry("u1", "a", UpstreamRole::Whole));
+    assert_eq!(usable(&catalog), 0);
+    let mut again = entry("u1", "a", UpstreamRole::Whole);
+    again.started_ms = Some(2);
+    assert_eq!(catalog.put(again), CatalogChange::Started);
+    assert_eq!(usable(&catalog), 1);
+}
+
+#[test]
+fn an_entry_that_lapsed_with_the_store_stays_for_its_grace_only() {
+    let mut catalog = UpstreamCatalog::default();
+    catalog.put(entry("u1", "a", UpstreamRole::Whole));
+    catalog.put(entry("u2", "a", UpstreamRole::Whole));
+    let back = at(0);
+    assert_eq!(catalog.remove("u1", at(100), Some(back)), CatalogChange::Suspect);
+    assert_eq!(catalog.remove("u2", at(100), Some(back)), CatalogChange::Suspect);
+    assert_eq!(usable(&catalog), 2);
+    catalog.put(entry("u2", "a", UpstreamRole::Whole));
+    let gone = catalog.expire(at(100) + RETURN_GRACE);
+    assert_eq!(gone, [UpstreamId::from("u1")]);
+    assert_eq!(usable(&catalog), 1);
+}
+
+#[test]
+fn a_removal_in_calm_times_counts_at_once() {
+    let mut catalog = UpstreamCatalog::default();
+    catalog.put(entry("u1", "a", UpstreamRole::Whole));
+    assert_eq!(catalog.remove("u1", at(10_000), Some(at(0))), CatalogChange::Gone);
+    assert_eq!(catalog.remove("u1", at(10_001), None), CatalogChange::None);
+    assert_eq!(usable(&catalog), 0);
+}
+
+#[test]
+fn a_leaving_upstream_has_no_grace() {
+    let mut catalog = UpstreamCatalog::default();
+    let mut leaving = entry("u1", "a", UpstreamRole::Whole);
+    leaving.is_leaving = true;
+    catalog.put(leaving);
+    assert_eq!(catalog.remove("u1", at(1), Some(at(0))), CatalogChange::Gone);
+}
+
+#[test]
+fn a_listing_removes_what_it_does_not_name() {
+    let mut catalog = UpstreamCatalog::default();
+    catalog.put(entry("u1", "a", UpstreamRole::Whole));
+    catalog.put(entry("u2", "a", UpstreamRole::Whole));
+    let named: FastSet<String> = ["u2".to_owned()].into_iter().collect();
+    catalog.retain(&named, at(60_000), None);
+    assert!(catalog.get("u1").is_none() && catalog.get("u2").is_some());
+}
+
+#[test]
+fn failures_in_a_row_set_an_upstream_aside_for_longer_each_time() {
+    let mut state = UpstreamState::default();
+    assert!(!state.record_failure(at(0)));
+    assert!(state.is_usable(at(0)) && state.is_suspect());
+    assert!(state.record_failure(at(0)));
+    assert!(!state.is_usable(at(499)) && state.is_usable(at(500)));
+    assert!(state.record_failure(at(500)));
+    assert!(!state.is_usable(at(1_499)) && state.is_usable(at(1_500)));
+    state.record_success();
+    assert!(state.is_usable(at(501)) && !state.is_suspect());
+}
+
+#[test]
+fn load_is_the_larger_of_what_is_known_and_what_was_told_lately() {
+    let mut state = UpstreamState::default();
+    state.own.requests = 2;
+    state.peers.requests = 1;
+    let report = LoadReport {
+        running: 6,
+        waiting: 3,
+        slots: 8,
+    };
+    state.record_report(report, at(0));
+    assert_eq!(state.requests(at(100)), 9);
+    assert_eq!(state.requests(at(100) + millis(1_000)), 3);
+}
+
+#[test]
+fn parts_count_only_behind_kept_ones_and_the_oldest_go_first() {
+    let mut kept = PrefixSet::default();
+    let first = prompt(1, 1_000, 100);
+    kept.record(&first.parts, 10_000);
+    assert_eq!(kept.kept_tokens(&first.parts), 1_100);
+    let mut other = first.clone();
+    other.parts[0].id = 99;
+    assert_eq!(kept.kept_tokens(&other.parts), 0);
+    for subject in 2..12 {
+        kept.record(&prompt(subject, 1_000, 100).parts, 10_000);
+    }
+    assert_eq!(kept.kept_tokens(&first.parts), 0);
+    assert_eq!(kept.kept_tokens(&prompt(11, 1_000, 100).parts), 1_100);
+}
