List a stream again after the store dropped records; test the whole path on stand-ins

Usage before a takeover was never reported when the claim took longer than two windows; found by the test of lost answers. Ruled out: shorter long polls (each is billed, and a stale listing would hide the change all the same).

--- /dev/null
+++ b/marigoldlock/src/gateway/cursor.rs
@@ -0,0 +1,74 @@
+//! Where a follower of a store's stream goes on.
+//!
+//! After the store has dropped records, a listing may be stale for a while: it can miss a change although the
+//! records after it are all read. So the stream is listed again a few times.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Longest wait of one long poll: each poll is billed, and a dead connection is found by the kernel.
+const POLL_WAIT: Duration = Duration::from_secs(10);
+
+/// When a stream is listed again after records were dropped. A leaving upstream must get no work two seconds after
+/// its notice; stale listings were seen for up to six seconds.
+const LIST_AGAIN: [Duration; 5] = [
+    Duration::from_millis(400),
+    Duration::from_millis(900),
+    Duration::from_millis(1_500),
+    Duration::from_millis(3_000),
+    Duration::from_millis(7_000),
+];
+
+/// What a follower does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextCall {
+    /// Lists the newest record of each key.
+    List,
+    /// Reads on from an offset and waits this long for a record.
+    Follow(u64, Duration),
+}
+
+/// Position of a follower.
+#[derive(Debug, Default)]
+pub struct FollowCursor {
+    next: Option<u64>,
+    list_at: VecDeque<Instant>,
+}
+
+impl FollowCursor {
+    /// What to call at `now`.
+    pub fn next_call(&mut self, now: Instant) -> NextCall {
+        let Some(next) = self.next else {
+            return NextCall::List;
+        };
+        match self.list_at.front() {
+            Some(due) if *due <= now => {
+                self.list_at.pop_front();
+                NextCall::List
+            }
+            Some(due) => NextCall::Follow(next, POLL_WAIT.min(*due - now)),
+            None => NextCall::Follow(next, POLL_WAIT),
+        }
+    }
+
+    /// Notes an answer that ended at `next_offset`; a listing moves the position only if there is none yet.
+    pub fn advance(&mut self, next_offset: u64, is_listing: bool) {
+        self.next = match self.next {
+            Some(next) if is_listing => Some(next),
+            Some(next) => Some(next.max(next_offset)),
+            None => Some(next_offset),
+        };
+    }
+
+    /// Goes on at the first record that is kept, after older ones were dropped.
+    pub fn restart(&mut self, first: u64, now: Instant) {
+        // An offset that is neither kept nor dropped can't be read on from.
+        self.next = self.next.filter(|next| *next < first).map(|_| first);
+        self.list_at = LIST_AGAIN.map(|after| now + after).into();
+        if self.next.is_some() {
+            self.list_at.push_front(now);
+        }
+    }
+}
--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -60,7 +60,6 @@
         missing_since: None,
         failures: 0,
         reported: FastSet::default(),
-        started_window: None,
         roles: RoleKeeper::default(),
         capacity: CapacityKeeper::default(),
     };
@@ -75,7 +74,6 @@
     missing_since: Option<MonoTime>,
     failures: u32,
     reported: FastSet<u64>,
-    started_window: Option<u64>,
     roles: RoleKeeper,
     capacity: CapacityKeeper,
 }
@@ -199,11 +197,10 @@
         }
         let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
         let current = self.gateway.window(settled);
-        let first = *self.started_window.get_or_insert(current.saturating_sub(2));
         let length = self.gateway.parts.bounds.usage_window;
         let due = self.gateway.parts.bounds.usage_due.as_millis() / length.as_millis().max(1);
         let oldest = current.saturating_sub(u64::try_from(due).unwrap_or(2) + 1);
-        for window in first.max(oldest)..current {
+        for window in oldest..current {
             if !self.reported.contains(&window) && !self.report(fence, window).await {
                 return;
             }
@@ -213,19 +210,25 @@
 
     /// Fixes and reports one window; returns false if the rest must wait.
     async fn report(&mut self, fence: u64, window: u64) -> bool {
-        let fixed = self.gateway.state().ledger.usage(window).map(<[_]>::to_vec);
+        let (fixed, has_counts) = {
+            let state = self.gateway.state();
+            (
+                state.ledger.usage(window).map(<[_]>::to_vec),
+                !state.usage.total(window).is_empty(),
+            )
+        };
         let counts = match fixed {
             Some(counts) => counts,
+            None if !has_counts => {
+                self.reported.insert(window);
+                return true;
+            }
             None => match self.fix(window).await {
                 Some(counts) => counts,
                 None => return false,
             },
         };
         let counts: CustomerCounts = counts.into_iter().collect();
-        if counts.is_empty() {
-            self.reported.insert(window);
-            return true;
-        }
         let Some(duties) = self.gateway.parts.duties.clone() else {
             return false;
         };
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -12,11 +12,9 @@
 use rand::Rng;
 
 use super::Gateway;
+use super::cursor::{FollowCursor, NextCall};
 use super::state::RawRecord;
 
-/// Longest wait of one long poll: each poll is billed, and a dead connection is found by the kernel.
-const POLL_WAIT: Duration = Duration::from_secs(10);
-
 /// First pause after a failed call.
 const RETRY_BASE: Duration = Duration::from_millis(80);
 
@@ -50,17 +48,15 @@
 
 async fn follow(gateway: &Arc<Gateway>, stream: StoreStream) {
     let mut pause = RetryPause::default();
-    let mut next = None;
+    let mut cursor = FollowCursor::default();
     loop {
-        let result = match next {
-            None => gateway
-                .parts
-                .store
-                .list(stream)
-                .await
-                .map(|listing| (listing, true)),
-            Some(offset) => {
-                let followed = gateway.parts.store.follow(stream, offset, POLL_WAIT).await;
+        let result = match cursor.next_call(tokio::time::Instant::now()) {
+            NextCall::List => {
+                let listed = gateway.parts.store.list(stream).await;
+                listed.map(|listing| (listing, true))
+            }
+            NextCall::Follow(offset, wait) => {
+                let followed = gateway.parts.store.follow(stream, offset, wait).await;
                 followed.map(|listing| (listing, false))
             }
         };
@@ -68,12 +64,12 @@
             Ok((listing, is_whole)) => {
                 pause.reset();
                 note_reached(gateway, stream);
-                next = Some(next.unwrap_or_default().max(listing.next_offset));
+                cursor.advance(listing.next_offset, is_whole);
                 apply(gateway, stream, &listing.records, listing.next_offset, is_whole);
             }
             Err(StoreError::Gone(first)) => {
                 log::info!(stream:%, first; "records were dropped by the store; the whole stream is read again");
-                next = None;
+                cursor.restart(first, tokio::time::Instant::now());
             }
             Err(err) => {
                 note_lost(gateway, stream, &err);
--- a/marigoldlock/src/gateway/front.rs
+++ b/marigoldlock/src/gateway/front.rs
@@ -48,7 +48,9 @@
 
 /// Serves a listener in the background.
 pub fn spawn(gateway: &Arc<Gateway>, listener: TcpListener, surface: Surface) {
-    tokio::spawn(accept(Arc::clone(gateway), listener, surface));
+    let killed = gateway.killed.clone();
+    let accepting = accept(Arc::clone(gateway), listener, surface);
+    tokio::spawn(killed.run_until_cancelled_owned(accepting));
 }
 
 async fn accept(gateway: Arc<Gateway>, listener: TcpListener, surface: Surface) {
@@ -59,7 +61,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let killed = gateway.killed.clone();
                 let connection = serve(Arc::clone(&gateway), stream, surface);
+                let connection = killed.run_until_cancelled_owned(connection);
                 if surface == Surface::Callers {
                     gateway.tracker.spawn(connection);
                 } else {
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! lock that is never held across an await.
 
 mod capacity;
+mod cursor;
 mod duties;
 mod follow;
 mod front;
@@ -17,10 +18,14 @@
 mod stream;
 mod work;
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::border::{DirectoryProtocol, UpstreamOrders};
 use marigoldlock_core::gateway::budget::BudgetLimits;
@@ -34,6 +39,7 @@
 
 use crate::clock::TimeSource;
 
+use front::Surface;
 use links::LinkPool;
 use state::GatewayState;
 
@@ -109,6 +115,8 @@
     work_changed: Notify,
     tracker: TaskTracker,
     closing: CancellationToken,
+    /// Cancelled when the instance ends without notice.
+    killed: CancellationToken,
 }
 
 impl Gateway {
@@ -132,57 +140,90 @@
 }
 
 impl GatewayServer {
-    /// Binds the listeners and starts to follow the store.
+    /// Binds the listeners and starts to follow the store. Port 0 takes a free one.
     ///
     /// # Errors
     ///
     /// Fails if an address can't be listened on.
-    pub async fn start(parts: GatewayParts) -> Result<Self> {
-        let addresses = parts.addresses;
-        let peer_address = parts.card.peer;
-        let state = GatewayState::default();
+    pub async fn start(mut parts: GatewayParts) -> Result<Self> {
+        let listeners = Listeners::bind(&mut parts).await?;
         let gateway = Arc::new(Gateway {
-            state: Mutex::new(state),
+            state: Mutex::new(GatewayState::default()),
             links: Mutex::new(LinkPool::default()),
             work_changed: Notify::new(),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
+            killed: CancellationToken::new(),
             parts,
         });
         let background = CancellationToken::new();
-        let socket = UdpSocket::bind(peer_address)
-            .await
-            .wrap_err_with(|| format!("bind {peer_address}"))?;
-        let peer_listener = bind(peer_address).await?;
-        front::spawn(
-            &gateway,
-            bind(addresses.readiness).await?,
-            front::Surface::Instance,
-        );
-        if let Some(address) = addresses
-            .directory
-            .filter(|address| *address != addresses.readiness)
-        {
-            front::spawn(&gateway, bind(address).await?, front::Surface::Instance);
-        }
-        if let Some(address) = addresses.metrics {
-            front::spawn(&gateway, bind(address).await?, front::Surface::Metrics);
+        for (listener, surface) in listeners.streams {
+            front::spawn(&gateway, listener, surface);
         }
-        front::spawn(&gateway, peer_listener, front::Surface::Peer);
-        front::spawn(&gateway, bind(addresses.front).await?, front::Surface::Callers);
         spawn_until(&background, follow::follow_settings(Arc::clone(&gateway)));
         spawn_until(&background, follow::follow_upstreams(Arc::clone(&gateway)));
         spawn_until(&background, follow::join_members(Arc::clone(&gateway)));
-        spawn_until(&background, peers::exchange(Arc::clone(&gateway), socket));
+        spawn_until(
+            &background,
+            peers::exchange(Arc::clone(&gateway), listeners.datagrams),
+        );
         spawn_until(&background, duties::run(Arc::clone(&gateway)));
+        let card = &gateway.parts.card;
         log::info!(
-            instance:% = gateway.parts.card.id, incarnation:% = gateway.parts.card.incarnation,
-            front:% = addresses.front, data_centre:% = gateway.parts.card.data_centre;
+            instance:% = card.id, incarnation:% = card.incarnation, front:% = card.front,
+            data_centre:% = card.data_centre;
             "instance started"
         );
         Ok(Self { gateway, background })
     }
 
+    /// Addresses that the instance listens on.
+    pub fn addresses(&self) -> GatewayAddresses {
+        self.gateway.parts.addresses
+    }
+
+    /// True once the instance serves.
+    pub fn is_ready(&self) -> bool {
+        self.gateway.state().stage == MemberStage::Ready
+    }
+
+    /// Version of the settings in force; 0 for none.
+    pub fn settings_version(&self) -> u64 {
+        self.gateway
+            .state()
+            .settings
+            .as_ref()
+            .map_or(0, |settings| settings.version)
+    }
+
+    /// Upstreams that take work.
+    pub fn usable_upstreams(&self) -> usize {
+        self.gateway
+            .state()
+            .catalog
+            .entries()
+            .filter(|entry| !entry.is_leaving)
+            .count()
+    }
+
+    /// Other instances that were heard of lately.
+    pub fn live_members(&self) -> usize {
+        let now = self.gateway.now();
+        self.gateway.state().members.live(now).count()
+    }
+
+    /// Takes settings as if the store had sent them.
+    pub fn put_settings_from_store(&self, value: &[u8]) {
+        follow::apply_settings(&self.gateway, &Bytes::copy_from_slice(value), "store");
+    }
+
+    /// Ends at once, as a killed process would; requests are cut.
+    pub fn abort(self) {
+        self.background.cancel();
+        self.gateway.killed.cancel();
+        self.gateway.closing.cancel();
+    }
+
     /// Leaves the address answer, lets running requests finish and ends.
     pub async fn close(self) {
         let gateway = self.gateway;
@@ -200,6 +241,41 @@
     }
 }
 
+struct Listeners {
+    streams: Vec<(TcpListener, Surface)>,
+    datagrams: UdpSocket,
+}
+
+impl Listeners {
+    /// Binds all addresses and writes the ports that were taken back into the parts.
+    async fn bind(parts: &mut GatewayParts) -> Result<Self> {
+        let mut streams = Vec::new();
+        let mut open = async |address: &mut SocketAddr, surface| -> Result<()> {
+            let listener = bind(*address).await?;
+            *address = listener.local_addr()?;
+            streams.push((listener, surface));
+            Ok(())
+        };
+        let addresses = &mut parts.addresses;
+        open(&mut addresses.readiness, Surface::Instance).await?;
+        match &mut addresses.directory {
+            Some(address) if *address != addresses.readiness => open(address, Surface::Instance).await?,
+            _ => {}
+        }
+        if let Some(address) = &mut addresses.metrics {
+            open(address, Surface::Metrics).await?;
+        }
+        open(&mut parts.card.peer, Surface::Peer).await?;
+        let peer = parts.card.peer;
+        let datagrams = UdpSocket::bind(peer)
+            .await
+            .wrap_err_with(|| format!("bind {peer}"))?;
+        open(&mut addresses.front, Surface::Callers).await?;
+        parts.card.front = addresses.front;
+        Ok(Self { streams, datagrams })
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -40,7 +40,8 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     crate::metrics::init();
-    let server = GatewayServer::start(parts(&settings, options.metrics_port)?).await?;
+    let metrics = SocketAddr::new(settings.ip, options.metrics_port);
+    let server = GatewayServer::start(gateway_parts(&settings, Some(metrics))?).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -62,7 +63,12 @@
     }
 }
 
-fn parts(settings: &ProcessSettings, metrics_port: u16) -> Result<GatewayParts> {
+/// A gateway's parts, with the platform's adapters.
+///
+/// # Errors
+///
+/// Fails if no client of the store can be built.
+pub fn gateway_parts(settings: &ProcessSettings, metrics: Option<SocketAddr>) -> Result<GatewayParts> {
     let store = PlatformStore::new(settings.store).wrap_err("build the store's client")?;
     let http = store.http();
     let duties = settings
@@ -81,7 +87,7 @@
             front: settings.front,
             readiness: settings.readiness,
             directory: settings.directory,
-            metrics: Some(SocketAddr::new(settings.ip, metrics_port)),
+            metrics,
         },
         seeds: settings
             .seeds
--- a/marigoldlock_core/src/gateway/tests/choice.rs
+++ b/marigoldlock_core/src/gateway/tests/choice.rs
@@ -13,14 +13,20 @@
         for _ in 0..*count {
             let number = fleet.len();
             let data_centre = ["a", "b", "c"][number % 3];
-            fleet.push((entry(&format!("u{number}"), data_centre, *role), UpstreamState::default()));
+            fleet.push((
+                entry(&format!("u{number}"), data_centre, *role),
+                UpstreamState::default(),
+            ));
         }
     }
     fleet
 }
 
 fn candidates(fleet: &[(UpstreamEntry, UpstreamState)]) -> Vec<Candidate<'_>> {
-    fleet.iter().map(|(entry, state)| Candidate { entry, state }).collect()
+    fleet
+        .iter()
+        .map(|(entry, state)| Candidate { entry, state })
+        .collect()
 }
 
 fn point(data_centre: &DataCentre) -> ChoicePoint<'_> {
@@ -69,11 +75,22 @@
     let mut fleet = fleet(&[(UpstreamRole::Prefill, 6)]);
     let place = DataCentre::from("a");
     let prompt = prompt(7, 13_000, 3_000);
-    let owner = pick_reader(&candidates(&fleet), &prompt, point(&place)).unwrap().0.id.clone();
+    let owner = pick_reader(&candidates(&fleet), &prompt, point(&place))
+        .unwrap()
+        .0
+        .id
+        .clone();
     let at_owner = |fleet: &mut Vec<(UpstreamEntry, UpstreamState)>, tokens| {
-        let state = fleet.iter_mut().find(|(entry, _)| entry.id == owner).map(|(_, state)| state);
+        let state = fleet
+            .iter_mut()
+            .find(|(entry, _)| entry.id == owner)
+            .map(|(_, state)| state);
         state.unwrap().own.reading_tokens = tokens;
-        pick_reader(&candidates(fleet), &prompt, point(&place)).unwrap().0.id == owner
+        pick_reader(&candidates(fleet), &prompt, point(&place))
+            .unwrap()
+            .0
+            .id
+            == owner
     };
     assert!(at_owner(&mut fleet, 20_000));
     assert!(!at_owner(&mut fleet, 60_000));
@@ -88,7 +105,9 @@
         }
     }
     let place = DataCentre::from("a");
-    let chosen = pick_reader(&candidates(&fleet), &prompt(1, 350, 1_100), point(&place)).unwrap().0;
+    let chosen = pick_reader(&candidates(&fleet), &prompt(1, 350, 1_100), point(&place))
+        .unwrap()
+        .0;
     assert_eq!(chosen.role, UpstreamRole::Prefill);
 }
 
@@ -97,7 +116,10 @@
     let mut fleet = fleet(&[(UpstreamRole::Decode, 3)]);
     let place = DataCentre::from("b");
     let pick = |fleet: &[(UpstreamEntry, UpstreamState)]| {
-        pick_generator(&candidates(fleet), point(&place), 1).unwrap().data_centre.clone()
+        pick_generator(&candidates(fleet), point(&place), 1)
+            .unwrap()
+            .data_centre
+            .clone()
     };
     assert_eq!(pick(&fleet), place);
     fleet[1].1.peers.requests = 30;
--- a/marigoldlock_core/src/gateway/tests/duty.rs
+++ b/marigoldlock_core/src/gateway/tests/duty.rs
@@ -28,9 +28,17 @@
     ledger.apply(1, claim("b"), at(10));
     assert_eq!(ledger.fence_of(&InstanceId::from("a"), Incarnation(1)), None);
     assert_eq!(ledger.fence_of(&InstanceId::from("b"), Incarnation(1)), Some(2));
-    assert_eq!(ledger.fence_of(&InstanceId::from("b"), Incarnation(2)), None, "a restart is another holder");
+    assert_eq!(
+        ledger.fence_of(&InstanceId::from("b"), Incarnation(2)),
+        None,
+        "a restart is another holder"
+    );
     ledger.apply(0, claim("a"), at(20));
-    assert_eq!(ledger.claim().unwrap().fence, 2, "a record that was read before changes nothing");
+    assert_eq!(
+        ledger.claim().unwrap().fence,
+        2,
+        "a record that was read before changes nothing"
+    );
 }
 
 #[test]
@@ -191,14 +199,19 @@
             return true;
         }
         self.highest_fence = fence;
-        let (known, _) = self.accepted.entry(window).or_insert_with(|| (counts.clone(), fence));
+        let (known, _) = self
+            .accepted
+            .entry(window)
+            .or_insert_with(|| (counts.clone(), fence));
         *known == counts
     }
 }
 
 fn holds(schedule: &[(Step, u8)], seeded: Seeded) -> bool {
     let mut world = World::default();
-    schedule.iter().all(|(step, fate)| world.run(*step, *fate, seeded))
+    schedule
+        .iter()
+        .all(|(step, fate)| world.run(*step, *fate, seeded))
 }
 
 fn config() -> Config {
--- a/marigoldlock_core/src/gateway/tests/load.rs
+++ b/marigoldlock_core/src/gateway/tests/load.rs
@@ -131,7 +131,11 @@
 #[test]
 fn a_burst_is_refused_once_its_wait_passes_the_objective() {
     let mut rate = ReadRate::default();
-    assert_eq!(rate.time_for(1_000_000), millis(0), "nothing is refused before a rate is known");
+    assert_eq!(
+        rate.time_for(1_000_000),
+        millis(0),
+        "nothing is refused before a rate is known"
+    );
     for _ in 0..100 {
         rate.record(3_000, millis(300), 3);
     }
@@ -140,7 +144,10 @@
     assert_eq!(come_back(millis(0), expected, millis(800)), None);
     let after = come_back(millis(0), rate.time_for(60_000), millis(800)).unwrap();
     assert!(after >= millis(800) && after <= millis(1_500), "{after:?}");
-    assert!(come_back(millis(1_300), millis(0), millis(800)).is_some(), "waiting counts");
+    assert!(
+        come_back(millis(1_300), millis(0), millis(800)).is_some(),
+        "waiting counts"
+    );
 }
 
 #[test]
@@ -161,7 +168,9 @@
 }
 
 fn serving(ordinary: u32, cheap: u32) -> FastMap<DataCentre, ServingCounts> {
-    [(DataCentre::from("a"), ServingCounts { ordinary, cheap })].into_iter().collect()
+    [(DataCentre::from("a"), ServingCounts { ordinary, cheap })]
+        .into_iter()
+        .collect()
 }
 
 fn change(is_cheap: bool, count: u32) -> CapacityChange {
@@ -176,7 +185,10 @@
 fn cheap_capacity_comes_first_and_ordinary_goes_when_it_serves() {
     let rule = scaling();
     let mut planner = CapacityPlanner::default();
-    assert!(planner.plan(&rule, &serving(3, 0), at(0)).is_empty(), "entries still come in");
+    assert!(
+        planner.plan(&rule, &serving(3, 0), at(0)).is_empty(),
+        "entries still come in"
+    );
     planner.plan(&rule, &serving(4, 0), at(300));
     assert_eq!(planner.plan(&rule, &serving(4, 0), at(2_000)), [change(true, 4)]);
     assert!(planner.plan(&rule, &serving(4, 4), at(6_000)).is_empty());
@@ -195,7 +207,10 @@
     let changes = planner.plan(&rule, &serving(2, 0), at(9_000));
     assert!(changes.contains(&change(false, 4)), "{changes:?}");
     assert!(changes.contains(&change(true, 4)), "{changes:?}");
-    assert!(planner.plan(&rule, &serving(2, 0), at(9_300)).is_empty(), "orders are not repeated at once");
+    assert!(
+        planner.plan(&rule, &serving(2, 0), at(9_300)).is_empty(),
+        "orders are not repeated at once"
+    );
     assert_eq!(planner.plan(&rule, &serving(2, 0), at(14_500)).len(), 2);
 }
 
--- a/marigoldlock_core/src/gateway/tests/members.rs
+++ b/marigoldlock_core/src/gateway/tests/members.rs
@@ -41,13 +41,24 @@
     members.hear(&beat(card("i4", "a", 140), MemberStage::Starting), at(0));
     let ports = |own: Option<&MemberCard>, place: Option<&str>, now| {
         let addresses = members.addresses(own, place, now);
-        addresses.iter().map(std::net::SocketAddr::port).collect::<Vec<_>>()
+        addresses
+            .iter()
+            .map(std::net::SocketAddr::port)
+            .collect::<Vec<_>>()
     };
     assert_eq!(ports(Some(&own), Some("a"), at(100)), [100, 110]);
     assert_eq!(ports(Some(&own), Some("b"), at(100)), [100, 110, 120]);
-    assert_eq!(ports(None, Some("a"), at(100)), [110, 120], "one near instance alone is not enough");
+    assert_eq!(
+        ports(None, Some("a"), at(100)),
+        [110, 120],
+        "one near instance alone is not enough"
+    );
     assert_eq!(ports(Some(&own), None, at(100)), [100, 110, 120]);
-    assert_eq!(ports(Some(&own), Some("a"), at(2_000)), [100], "silent instances are not told");
+    assert_eq!(
+        ports(Some(&own), Some("a"), at(2_000)),
+        [100],
+        "silent instances are not told"
+    );
 }
 
 #[test]
@@ -66,7 +77,12 @@
 fn true_time_survives_jumps_of_a_minority() {
     let mut clock = TrueClock::default();
     let truth = 1_000_000;
-    for (name, unix_ms) in [("i1", truth + 3), ("i2", truth - 2), ("i3", truth + 2_400), ("i4", truth)] {
+    for (name, unix_ms) in [
+        ("i1", truth + 3),
+        ("i2", truth - 2),
+        ("i3", truth + 2_400),
+        ("i4", truth),
+    ] {
         clock.record(&InstanceId::from(name), unix_ms, at(0));
     }
     let own_jumped = truth - 2_000;
--- a/marigoldlock_core/src/gateway/tests/requests.rs
+++ b/marigoldlock_core/src/gateway/tests/requests.rs
@@ -51,7 +51,10 @@
 
 #[test]
 fn longest_prefix_of_the_host_wins() {
-    let settings = settings(vec![rule("short", "/a/", &[("s", 1)]), rule("long", "/a/b/", &[("s", 1)])]);
+    let settings = settings(vec![
+        rule("short", "/a/", &[("s", 1)]),
+        rule("long", "/a/b/", &[("s", 1)]),
+    ]);
     let name = |host: &str, path: &str| settings.route(host, path).map(|rule| rule.name.clone());
     assert_eq!(name("shop.example", "/a/b/c").as_deref(), Some("long"));
     assert_eq!(name("shop.example:8080", "/a/x").as_deref(), Some("short"));
@@ -81,7 +84,11 @@
 
 #[test]
 fn a_request_that_may_have_run_is_not_sent_again_unless_it_may_repeat() {
-    for failure in [AttemptFailure::Broken, AttemptFailure::TimedOut, AttemptFailure::Errored] {
+    for failure in [
+        AttemptFailure::Broken,
+        AttemptFailure::TimedOut,
+        AttemptFailure::Errored,
+    ] {
         let mut ledger = AttemptLedger::default();
         ledger.count_sent();
         ledger.record(failure);
@@ -112,7 +119,11 @@
 #[test]
 fn one_attempt_that_may_have_run_outweighs_all_that_did_not() {
     let mut ledger = AttemptLedger::default();
-    for failure in [AttemptFailure::Broken, AttemptFailure::NotRun, AttemptFailure::NotSent] {
+    for failure in [
+        AttemptFailure::Broken,
+        AttemptFailure::NotRun,
+        AttemptFailure::NotSent,
+    ] {
         ledger.count_sent();
         ledger.record(failure);
     }
@@ -134,10 +145,15 @@
             for request in 0..50 {
                 budget.count_request(at(request * 10), &limits);
             }
-            repeats += (0..200).filter(|_| budget.try_repeat(at(600), &limits, instances)).count();
+            repeats += (0..200)
+                .filter(|_| budget.try_repeat(at(600), &limits, instances))
+                .count();
         }
         let allowed = 0.2 * 50.0 * instances as f64 + 56.0;
-        assert!(repeats as f64 <= allowed, "{instances} instances: {repeats} of {allowed}");
+        assert!(
+            repeats as f64 <= allowed,
+            "{instances} instances: {repeats} of {allowed}"
+        );
     }
 }
 
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -15,7 +15,10 @@
 #[test]
 fn an_upstream_that_leaves_gets_no_work_and_does_not_come_back_under_its_start() {
     let mut catalog = UpstreamCatalog::default();
-    assert_eq!(catalog.put(entry("u1", "a", UpstreamRole::Whole)), CatalogChange::Started);
+    assert_eq!(
+        catalog.put(entry("u1", "a", UpstreamRole::Whole)),
+        CatalogChange::Started
+    );
     let mut leaving = entry("u1", "a", UpstreamRole::Whole);
     leaving.is_leaving = true;
     assert_eq!(catalog.put(leaving), CatalogChange::Leaving);
--- a/marigoldlock_standin/src/lib.rs
+++ b/marigoldlock_standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ordering;
 pub mod server;
 pub mod service;
+pub mod site;
 pub mod usage;
 
 pub mod prelude {
--- /dev/null
+++ b/marigoldlock_standin/src/site/duties.rs
@@ -0,0 +1,149 @@
+//! The platform's duty calls, with their fencing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use axum::extract::State;
+use axum::http::{HeaderMap, StatusCode};
+use axum::routing::post;
+use axum::{Json, Router};
+use serde::Deserialize;
+
+use super::Listening;
+
+/// A usage window that was accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AcceptedUsage {
+    /// Who reported it first.
+    pub holder: String,
+    /// Requests by customer.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// An accepted order of capacity.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "PascalCase")]
+pub struct ScaleOrder {
+    /// The service.
+    pub service: String,
+    /// The data centre.
+    pub zone: String,
+    /// Upstreams wanted.
+    pub desired_count: u32,
+    /// True for capacity that may be reclaimed.
+    #[serde(default)]
+    pub spot: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct UsageReport {
+    window_id: u64,
+    counts: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Default)]
+struct DutyState {
+    highest_fence: u64,
+    usage: BTreeMap<u64, AcceptedUsage>,
+    conflicts: u32,
+    orders: Vec<ScaleOrder>,
+}
+
+type Shared = Arc<Mutex<DutyState>>;
+
+/// Running stand-in of the duty calls.
+#[derive(Debug)]
+pub struct DutyStandin {
+    shared: Shared,
+    listening: Listening,
+}
+
+impl DutyStandin {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// If no address can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let shared = Shared::default();
+        let routes = Router::new()
+            .route("/usage", post(usage))
+            .route("/scale", post(scale))
+            .with_state(Arc::clone(&shared));
+        let listening = Listening::start(routes).await?;
+        Ok(Self { shared, listening })
+    }
+
+    /// Address of the calls.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+
+    /// Windows accepted so far.
+    pub fn usage(&self) -> BTreeMap<u64, AcceptedUsage> {
+        lock(&self.shared).usage.clone()
+    }
+
+    /// Windows that were reported twice with different figures.
+    pub fn conflicts(&self) -> u32 {
+        lock(&self.shared).conflicts
+    }
+
+    /// Orders accepted so far.
+    pub fn orders(&self) -> Vec<ScaleOrder> {
+        lock(&self.shared).orders.clone()
+    }
+}
+
+fn lock(shared: &Shared) -> MutexGuard<'_, DutyState> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Takes the caller's fencing number; false if a higher one was seen.
+fn admit(state: &mut DutyState, headers: &HeaderMap) -> Option<String> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let fence: u64 = text("fence-token")?.parse().ok()?;
+    if fence < state.highest_fence {
+        return None;
+    }
+    state.highest_fence = fence;
+    text("duty-holder").map(str::to_owned)
+}
+
+async fn usage(
+    State(shared): State<Shared>,
+    headers: HeaderMap,
+    Json(report): Json<UsageReport>,
+) -> StatusCode {
+    let mut state = lock(&shared);
+    let Some(holder) = admit(&mut state, &headers) else {
+        return StatusCode::CONFLICT;
+    };
+    let accepted = AcceptedUsage {
+        holder,
+        counts: report.counts,
+    };
+    let known = state
+        .usage
+        .entry(report.window_id)
+        .or_insert_with(|| accepted.clone());
+    if known.counts != accepted.counts {
+        state.conflicts += 1;
+    }
+    StatusCode::OK
+}
+
+async fn scale(
+    State(shared): State<Shared>,
+    headers: HeaderMap,
+    Json(order): Json<ScaleOrder>,
+) -> StatusCode {
+    let mut state = lock(&shared);
+    if admit(&mut state, &headers).is_none() {
+        return StatusCode::CONFLICT;
+    }
+    state.orders.push(order);
+    StatusCode::OK
+}
--- /dev/null
+++ b/marigoldlock_standin/src/site/runner.rs
@@ -0,0 +1,291 @@
+//! An upstream of the platform: a plain service, or a model engine that reads and generates.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::{Body, Bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, Response, StatusCode};
+use futures::StreamExt as _;
+use serde_json::{Value, json};
+
+use super::Listening;
+
+/// What an upstream is.
+#[derive(Clone, Debug)]
+pub struct RunnerOptions {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it stands.
+    pub zone: String,
+    /// `prefill` or `decode`; a plain service if it is absent.
+    pub stage: Option<&'static str>,
+}
+
+/// Faults of an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct RunnerFaults {
+    /// Requests are turned away as not run.
+    pub is_full: bool,
+    /// Requests run and their connection ends without an answer.
+    pub loses_answers: bool,
+    /// Requests are answered with an error of its own.
+    pub fails: bool,
+    /// Streams break off after this many events.
+    pub breaks_after: Option<usize>,
+    /// Streams that go on after an event break off as well.
+    pub breaks_resumed: bool,
+    /// Answers belong to another request.
+    pub is_crossed: bool,
+    /// Refuses with 503 although the request ran, without the mark that it didn't.
+    pub lies_refusing: bool,
+    /// Time that a request takes.
+    pub delay: Duration,
+}
+
+/// A request that an upstream ran.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunRecord {
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// Customer that the system named.
+    pub tenant: Option<String>,
+    /// True if only the prompt was read.
+    pub is_prefill: bool,
+    /// Where the prompt's memory came from.
+    pub kv_source: Option<String>,
+    /// Event after which the run went on.
+    pub last_event: Option<u64>,
+    /// True if the caller's key was passed on.
+    pub has_key: bool,
+    /// Path and body that arrived.
+    pub path: String,
+    /// Body that arrived.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct RunnerState {
+    options: RunnerOptions,
+    faults: Mutex<RunnerFaults>,
+    runs: Mutex<Vec<RunRecord>>,
+    orders: Mutex<Vec<Value>>,
+}
+
+/// Running stand-in of one upstream.
+#[derive(Debug)]
+pub struct RunnerStandin {
+    state: Arc<RunnerState>,
+    listening: Listening,
+}
+
+/// Time between two events.
+const EVENT_PACE: Duration = Duration::from_millis(2);
+
+/// Events of every stream.
+pub const STREAM_EVENTS: u64 = 6;
+
+impl RunnerStandin {
+    /// Starts an upstream.
+    ///
+    /// # Errors
+    ///
+    /// If no address can be bound.
+    pub async fn start(options: RunnerOptions) -> std::io::Result<Self> {
+        let state = Arc::new(RunnerState {
+            options,
+            faults: Mutex::default(),
+            runs: Mutex::default(),
+            orders: Mutex::default(),
+        });
+        let routes = Router::new().fallback(serve).with_state(Arc::clone(&state));
+        let listening = Listening::start(routes).await?;
+        Ok(Self { state, listening })
+    }
+
+    /// What it writes into the store; `state` is `ready` or `draining`.
+    pub fn entry(&self, state: &str) -> Value {
+        let options = &self.state.options;
+        json!({"Service": options.service, "Address": self.listening.address.to_string(), "Zone": options.zone,
+            "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "Stage": options.stage, "Sequence": 1,
+            "born": 1})
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.state.options.id
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut RunnerFaults)) {
+        change(&mut lock(&self.state.faults));
+    }
+
+    /// Requests that ran.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        lock(&self.state.runs).clone()
+    }
+
+    /// Orders that were accepted.
+    pub fn orders(&self) -> Vec<Value> {
+        lock(&self.state.orders).clone()
+    }
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn respond(status: StatusCode, headers: &[(&str, &str)], body: impl Into<Body>) -> Response<Body> {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(body.into()).unwrap_or_default()
+}
+
+async fn serve(State(state): State<Arc<RunnerState>>, request: Request) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let body = axum::body::to_bytes(body, 1 << 20).await.unwrap_or_default();
+    let expected = text(&parts.headers, "expect-instance");
+    if expected.is_some_and(|expected| expected != state.options.id) {
+        return respond(
+            StatusCode::MISDIRECTED_REQUEST,
+            &[("Instance-Id", &state.options.id)],
+            "",
+        );
+    }
+    match (parts.method.as_str(), parts.uri.path()) {
+        ("GET", "/report") => report(&state),
+        ("POST", "/order") => order(&state, &body),
+        ("DELETE", _) => respond(StatusCode::OK, &[], ""),
+        _ => run(&state, &parts.headers, parts.uri.path(), body).await,
+    }
+}
+
+fn report(state: &RunnerState) -> Response<Body> {
+    let told = json!({"Stage": state.options.stage, "Busy": false, "Sequence": lock(&state.orders).len()});
+    respond(
+        StatusCode::OK,
+        &[("Content-Type", "application/json")],
+        told.to_string(),
+    )
+}
+
+fn order(state: &RunnerState, body: &[u8]) -> Response<Body> {
+    let Ok(order) = serde_json::from_slice::<Value>(body) else {
+        return respond(StatusCode::BAD_REQUEST, &[], "");
+    };
+    let mut orders = lock(&state.orders);
+    let highest = orders
+        .iter()
+        .filter_map(|order| order["Fence"].as_u64())
+        .max()
+        .unwrap_or_default();
+    if order["Fence"].as_u64().unwrap_or_default() < highest {
+        return respond(StatusCode::PRECONDITION_FAILED, &[], "");
+    }
+    if order["Precondition"]
+        .as_u64()
+        .is_some_and(|expected| expected != orders.len() as u64)
+    {
+        return respond(StatusCode::CONFLICT, &[], "");
+    }
+    orders.push(order);
+    respond(StatusCode::ACCEPTED, &[], "")
+}
+
+async fn run(state: &RunnerState, headers: &HeaderMap, path: &str, body: Bytes) -> Response<Body> {
+    let faults = lock(&state.faults).clone();
+    let attempt = text(headers, "attempt-id").unwrap_or_default().to_owned();
+    let echoed = if faults.is_crossed {
+        "another".to_owned()
+    } else {
+        attempt.clone()
+    };
+    let is_prefill = text(headers, "stage") == Some("prefill");
+    let is_wrong_stage = match state.options.stage {
+        Some("prefill") => !is_prefill,
+        Some(_) => is_prefill,
+        None => false,
+    };
+    if is_wrong_stage {
+        return respond(StatusCode::MISDIRECTED_REQUEST, &[("Not-Executed", "1")], "");
+    }
+    if faults.is_full {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, &[("Not-Executed", "1")], "");
+    }
+    let last_event = text(headers, "last-event-id").and_then(|id| id.parse().ok());
+    lock(&state.runs).push(RunRecord {
+        attempt,
+        tenant: text(headers, "tenant").map(str::to_owned),
+        is_prefill,
+        kv_source: text(headers, "kv-source").map(str::to_owned),
+        last_event,
+        has_key: headers.contains_key("authorization"),
+        path: path.to_owned(),
+        body,
+    });
+    tokio::time::sleep(faults.delay).await;
+    if faults.lies_refusing {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, &[("Attempt-Id", &echoed)], "");
+    }
+    if faults.loses_answers {
+        let broken = futures::stream::once(async { Err::<Bytes, _>(std::io::Error::other("lost")) });
+        return respond(
+            StatusCode::OK,
+            &[("Attempt-Id", &echoed)],
+            Body::from_stream(broken),
+        );
+    }
+    let seal = ("Response-Seal", state.options.id.as_str());
+    let id = ("Attempt-Id", echoed.as_str());
+    if faults.fails {
+        return respond(StatusCode::INTERNAL_SERVER_ERROR, &[id, seal], "failed");
+    }
+    if is_prefill {
+        let told = json!({"KvHandle": "h1", "Tokens": 100, "Version": 1});
+        return respond(
+            StatusCode::OK,
+            &[id, ("Content-Type", "application/json")],
+            told.to_string(),
+        );
+    }
+    if state.options.stage.is_none() {
+        return respond(
+            StatusCode::OK,
+            &[id, seal, ("Instance-Load", "1,0,8")],
+            "whole answer",
+        );
+    }
+    let first = last_event.map_or(0, |last| last + 1);
+    let events = (first..STREAM_EVENTS).map(|id| Ok(Bytes::from(format!("id: {id}\ndata: piece {id}\n\n"))));
+    let breaks_after = faults
+        .breaks_after
+        .filter(|_| last_event.is_none() || faults.breaks_resumed);
+    let sent: Vec<std::io::Result<Bytes>> = match breaks_after {
+        Some(count) => {
+            let half = Ok(Bytes::from_static(b"id: 99\nda"));
+            let end = [half, Err(std::io::Error::other("broken off"))];
+            events.take(count).chain(end).collect()
+        }
+        None => events.collect(),
+    };
+    // Each event is its own write, as an engine makes them; a burst could be lost whole when it breaks off.
+    let paced = futures::stream::iter(sent).then(|event| async {
+        tokio::time::sleep(EVENT_PACE).await;
+        event
+    });
+    respond(
+        StatusCode::OK,
+        &[id, seal, ("Content-Type", "text/event-stream")],
+        Body::from_stream(paced),
+    )
+}
