Give an engine no work until its role change is done; leave silent addresses at once

Ruled out: heartbeats that tell changes late (the engines were left out until they told the new role). Change: the planner holds an engine until its change time has passed; one failed connect or a foreign upstream sets an address aside. Before: both new tests fail to build or fail.

--- a/marigoldlock/src/gateway/roles.rs
+++ b/marigoldlock/src/gateway/roles.rs
@@ -50,7 +50,8 @@
         let Some(settings) = state.settings.clone() else {
             return;
         };
-        for service in settings.services().filter(|service| service.engine.is_some()) {
+        for service in settings.services() {
+            let Some(engine) = &service.engine else { continue };
             let engines: Vec<EngineLoad<'_>> = state
                 .catalog
                 .usable(&service.name)
@@ -64,7 +65,7 @@
                 })
                 .collect();
             let planner = self.planners.entry(service.name.clone()).or_default();
-            for change in planner.plan(&engines, now) {
+            for change in planner.plan(&engines, engine.role_change, now) {
                 log::info!(
                     target: DECISION_TARGET,
                     service:% = service.name, upstream:% = change.upstream, role:? = change.role, engines = engines.len();
--- a/marigoldlock/src/gateway/session.rs
+++ b/marigoldlock/src/gateway/session.rs
@@ -285,6 +285,7 @@
                 false
             }
             AttemptFailure::Errored => false,
+            AttemptFailure::NotSent | AttemptFailure::OtherUpstream => upstream.record_unreachable(now),
             _ => upstream.record_failure(now),
         };
         drop(state);
--- a/marigoldlock_core/src/gateway/roles.rs
+++ b/marigoldlock_core/src/gateway/roles.rs
@@ -36,6 +36,9 @@
 /// Time after which an order that shows no effect is given up; work that runs is finished first.
 const ORDER_PATIENCE: Duration = Duration::from_secs(12);
 
+/// Time after a change in which an engine gets no work yet: its clock and ours differ a little.
+const RETURN_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time between a change and one in the other direction: several times what a change costs.
 const TURN_PAUSE: Duration = Duration::from_secs(10);
 
@@ -69,6 +72,7 @@
 struct Ordered {
     role: UpstreamRole,
     at: MonoTime,
+    told_at: Option<MonoTime>,
 }
 
 /// Plans the roles of one service's engines.
@@ -83,11 +87,22 @@
 
 impl RolePlanner {
     /// Takes a sample of all engines of the service that take work, and says which should change.
-    pub fn plan(&mut self, engines: &[EngineLoad<'_>], now: MonoTime) -> Vec<RoleChange> {
+    ///
+    /// An engine tells its new role when it takes the order, and serves in it `change_time` later.
+    pub fn plan(
+        &mut self,
+        engines: &[EngineLoad<'_>],
+        change_time: Duration,
+        now: MonoTime,
+    ) -> Vec<RoleChange> {
         self.ordered.retain(|id, ordered| {
-            let engine = engines.iter().find(|engine| engine.entry.id == *id);
-            engine.is_some_and(|engine| engine.entry.role != ordered.role)
-                && now.since(ordered.at) < ORDER_PATIENCE
+            let Some(engine) = engines.iter().find(|engine| engine.entry.id == *id) else { return false };
+            let is_told = engine.entry.role == ordered.role;
+            if is_told {
+                ordered.told_at.get_or_insert(now);
+            }
+            let is_done = ordered.told_at.is_some_and(|at| now.since(at) >= change_time + RETURN_MARGIN);
+            !is_done && now.since(ordered.at) < ORDER_PATIENCE
         });
         let settled: Vec<&EngineLoad<'_>> = engines
             .iter()
@@ -209,7 +224,7 @@
             let engine = idlest.remove(at);
             *taken.entry(&engine.entry.data_centre).or_default() += 1;
             self.ordered
-                .insert(engine.entry.id.clone(), Ordered { role, at: now });
+                .insert(engine.entry.id.clone(), Ordered { role, at: now, told_at: None });
             changes.push(RoleChange {
                 upstream: engine.entry.id.clone(),
                 role,
--- a/marigoldlock_core/src/gateway/route.rs
+++ b/marigoldlock_core/src/gateway/route.rs
@@ -92,6 +92,8 @@
     pub kv_tokens: u64,
     /// Memory of a token, in bytes.
     pub kv_bytes: u64,
+    /// Time that a change of role takes once running work is done.
+    pub role_change: Duration,
 }
 
 /// Bounds on how many upstreams may be ordered.
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -79,6 +79,12 @@
         true
     }
 
+    /// Notes that nobody answers at the upstream's address, or another upstream; it is set aside at once.
+    pub fn record_unreachable(&mut self, now: MonoTime) -> bool {
+        self.failures = self.failures.max(FAILURES_TO_EJECT - 1);
+        self.record_failure(now)
+    }
+
     /// Notes that the upstream had no room.
     pub fn record_full(&mut self, now: MonoTime) {
         self.full_until = now + FULL_PAUSE;
--- a/marigoldlock_core/src/gateway/tests/load.rs
+++ b/marigoldlock_core/src/gateway/tests/load.rs
@@ -42,7 +42,7 @@
                 }
             })
             .collect();
-        changes.extend(planner.plan(&loads, at(from + tick * 250)));
+        changes.extend(planner.plan(&loads, millis(3_000), at(from + tick * 250)));
     }
     changes
 }
@@ -105,6 +105,22 @@
     assert_eq!(planner.changing().count(), 0);
 }
 
+#[test]
+fn an_engine_gets_no_work_until_its_change_is_done() {
+    let mut engines = engines(4, 8);
+    let mut planner = RolePlanner::default();
+    let changes = run(&mut planner, &engines, 20_000, 3, 0, 2);
+    for entry in &mut engines {
+        if changes.iter().any(|change| change.upstream == entry.id) {
+            entry.role = UpstreamRole::Prefill;
+        }
+    }
+    run(&mut planner, &engines, 0, 3, 2_000, 3);
+    assert_eq!(planner.changing().count(), changes.len(), "the new role is told before it is served");
+    run(&mut planner, &engines, 0, 3, 5_000, 1);
+    assert_eq!(planner.changing().count(), 0);
+}
+
 #[test]
 fn few_prompts_are_at_a_reader_and_the_most_urgent_waits_least() {
     let mut reader = UpstreamState::default();
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -88,6 +88,15 @@
     assert!(state.is_usable(at(501)) && !state.is_suspect());
 }
 
+#[test]
+fn an_address_where_nobody_answers_is_left_at_once() {
+    let mut state = UpstreamState::default();
+    assert!(state.record_unreachable(at(0)));
+    assert!(!state.is_usable(at(499)) && state.is_usable(at(500)));
+    assert!(state.record_unreachable(at(500)));
+    assert!(!state.is_usable(at(1_499)));
+}
+
 #[test]
 fn load_is_the_larger_of_what_is_known_and_what_was_told_lately() {
     let mut state = UpstreamState::default();
