Keep a share of generators, count only healthy ones; take capacity from the rule alone

Ruled out: the base kept in the store, one more record for what the rule already says. Change: one engine in five generates, unhealthy ones don't count, missing ones are replaced together; capacity planned from the rule's bounds.

--- a/marigoldlock/src/gateway/roles.rs
+++ b/marigoldlock/src/gateway/roles.rs
@@ -61,6 +61,7 @@
                         entry,
                         requests: upstream.own.requests + upstream.peers.requests,
                         reading_tokens: upstream.reading_tokens(),
+                        is_healthy: upstream.is_usable(now),
                     })
                 })
                 .collect();
--- a/marigoldlock_core/src/gateway/capacity.rs
+++ b/marigoldlock_core/src/gateway/capacity.rs
@@ -1,9 +1,9 @@
 //! How many upstreams to order in each data centre.
 //!
 //! Load pattern: reading binds at the peaks, and cheap capacity costs a fraction of the rest but may be
-//! reclaimed, all of a data centre at once. Cheap upstreams fill the room that the rule leaves; about half of the
-//! ordinary ones stay, so that the loss of all cheap ones of a data centre cuts it to a part and leaves the
-//! others whole.
+//! reclaimed, all of a data centre at once. Cheap upstreams fill half of the room, and some ordinary ones stay, so that
+//! the loss of all cheap ones of a data centre cuts it to a part and leaves the others whole. The counts follow
+//! from the rule alone, so that a successor orders the same.
 
 use std::time::Duration;
 
@@ -16,12 +16,18 @@
 /// Price of cheap capacity against the rest under which it replaces ordinary upstreams.
 const CHEAP_PRICE: f64 = 0.5;
 
-/// Time in which the ordinary upstreams at the start are counted: their entries come one by one.
-const LEARN: Duration = Duration::from_millis(1_500);
-
 /// Time for which cheap upstreams must have served before ordinary ones go.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// Time beyond their boot after which cheap upstreams that don't serve are taken as not to be had.
+const OVERDUE: Duration = Duration::from_secs(2);
+
+/// Part of the most upstreams that are ordinary while there are no cheap ones.
+const ORDINARY_ALONE: u32 = 2;
+
+/// Part of the most upstreams that stay ordinary beside cheap ones.
+const ORDINARY_BESIDE: u32 = 4;
+
 /// Time between two orders for the same upstreams that show no effect; a refused order may succeed later.
 const REPEAT: Duration = Duration::from_secs(5);
 
@@ -53,10 +59,12 @@
 
 #[derive(Clone, Debug, Default)]
 struct SiteState {
-    /// Ordinary upstreams at the start.
-    base: u32,
-    known_since: Option<MonoTime>,
+    /// Since when enough cheap upstreams serve.
     enough_since: Option<MonoTime>,
+    /// Since when there are too few.
+    short_since: Option<MonoTime>,
+    /// True once enough cheap upstreams have served.
+    had_enough: bool,
     sent: FastMap<bool, SentOrder>,
 }
 
@@ -80,30 +88,55 @@
         let mut changes = Vec::new();
         for (data_centre, counts) in serving {
             let site = self.sites.entry(data_centre.clone()).or_default();
-            let since = *site.known_since.get_or_insert(now);
-            if now.since(since) < LEARN {
-                site.base = site.base.max(counts.ordinary).min(rule.max);
-                continue;
-            }
-            let kept = rule.min.max(site.base.div_ceil(2));
-            let cheap = rule.max.saturating_sub(site.base);
-            let is_enough = counts.cheap >= site.base.saturating_sub(kept).max(1);
-            let since = is_enough.then(|| *site.enough_since.get_or_insert(now));
-            site.enough_since = since;
-            let is_settled = since.is_some_and(|since| now.since(since) >= SETTLE);
-            let ordinary = if is_settled { kept } else { site.base };
+            let alone = rule.max.div_ceil(ORDINARY_ALONE).max(rule.min);
+            let beside = (rule.max / ORDINARY_BESIDE).max(rule.min).max(1);
+            let cheap = rule.max.saturating_sub(alone);
             if cheap > 0 && counts.cheap != cheap {
                 site.order(data_centre, true, cheap, now, &mut changes);
             }
-            if counts.ordinary != ordinary {
-                site.order(data_centre, false, ordinary, now, &mut changes);
+            let wanted = match site.follow(counts.cheap >= (alone - beside).max(1), rule.boot, now) {
+                CheapSupply::Settled => beside,
+                CheapSupply::Lost if counts.ordinary < alone => alone,
+                CheapSupply::Starting | CheapSupply::Lost => continue,
+            };
+            if counts.ordinary != wanted {
+                site.order(data_centre, false, wanted, now, &mut changes);
             }
         }
         changes
     }
 }
 
+/// State of a data centre's cheap upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CheapSupply {
+    /// They were ordered and may still start.
+    Starting,
+    /// Enough have served for a while.
+    Settled,
+    /// They were reclaimed, or are not to be had.
+    Lost,
+}
+
 impl SiteState {
+    fn follow(&mut self, is_enough: bool, boot: Duration, now: MonoTime) -> CheapSupply {
+        if is_enough {
+            self.short_since = None;
+            let since = *self.enough_since.get_or_insert(now);
+            if now.since(since) < SETTLE {
+                return CheapSupply::Starting;
+            }
+            self.had_enough = true;
+            return CheapSupply::Settled;
+        }
+        self.enough_since = None;
+        let since = *self.short_since.get_or_insert(now);
+        if self.had_enough || now.since(since) >= boot + OVERDUE {
+            return CheapSupply::Lost;
+        }
+        CheapSupply::Starting
+    }
+
     fn order(
         &mut self,
         data_centre: &DataCentre,
--- a/marigoldlock_core/src/gateway/roles.rs
+++ b/marigoldlock_core/src/gateway/roles.rs
@@ -24,8 +24,8 @@
 /// Fewest generators: one may be lost at any moment.
 const GENERATORS_LEAST: usize = 2;
 
-/// Share of a service's engines that generate in any case, up to one for each data centre.
-const GENERATORS_SHARE: usize = 4;
+/// One in so many engines generates in any case, so that a swing of the mix or the loss of some finds others.
+const GENERATORS_SHARE: usize = 5;
 
 /// Fewest readers, likewise.
 const READERS_LEAST: usize = 2;
@@ -57,6 +57,8 @@
     pub requests: u32,
     /// Prompt tokens still to be read there.
     pub reading_tokens: u64,
+    /// False while it fails.
+    pub is_healthy: bool,
 }
 
 /// An engine that gets another role.
@@ -96,12 +98,16 @@
         now: MonoTime,
     ) -> Vec<RoleChange> {
         self.ordered.retain(|id, ordered| {
-            let Some(engine) = engines.iter().find(|engine| engine.entry.id == *id) else { return false };
+            let Some(engine) = engines.iter().find(|engine| engine.entry.id == *id) else {
+                return false;
+            };
             let is_told = engine.entry.role == ordered.role;
             if is_told {
                 ordered.told_at.get_or_insert(now);
             }
-            let is_done = ordered.told_at.is_some_and(|at| now.since(at) >= change_time + RETURN_MARGIN);
+            let is_done = ordered
+                .told_at
+                .is_some_and(|at| now.since(at) >= change_time + RETURN_MARGIN);
             !is_done && now.since(ordered.at) < ORDER_PATIENCE
         });
         let settled: Vec<&EngineLoad<'_>> = engines
@@ -132,11 +138,10 @@
             .values()
             .filter(|ordered| ordered.role == UpstreamRole::Prefill)
             .count();
-        let places: FastSet<&DataCentre> = engines.iter().map(|engine| &engine.entry.data_centre).collect();
-        let share = engines.len().div_ceil(GENERATORS_SHARE).min(places.len());
-        let least = GENERATORS_LEAST.max(share);
+        let least = GENERATORS_LEAST.max(engines.len().div_ceil(GENERATORS_SHARE));
         let wanted = least.max((self.generating / REQUESTS_PER_GENERATOR).ceil() as usize + 1);
-        let have = generators.len() + coming;
+        let healthy = generators.iter().filter(|engine| engine.is_healthy).count();
+        let have = healthy + coming;
         let room = (engines.len() / CHANGING_SHARE)
             .max(1)
             .saturating_sub(self.ordered.len());
@@ -148,11 +153,13 @@
         let is_crowded = self.generating > REQUESTS_CROWDED * generators.len().max(1) as f64;
         let is_short = have < least || have < wanted && is_crowded;
         if is_short && readers.len() + reading > READERS_LEAST {
-            let count = (wanted - have)
-                .min(1)
-                .min(room)
-                .min(readers.len().saturating_sub(READERS_LEAST));
-            return self.turn(&readers, UpstreamRole::Decode, count, now);
+            let missing = least.saturating_sub(have).max(1);
+            let spare = readers.len().saturating_sub(READERS_LEAST);
+            if have < least {
+                // Without generators nothing is served, so no pause applies.
+                self.last_turn = None;
+            }
+            return self.turn(&readers, UpstreamRole::Decode, missing.min(room).min(spare), now);
         }
         Vec::new()
     }
@@ -223,8 +230,14 @@
             let Some(at) = next else { break };
             let engine = idlest.remove(at);
             *taken.entry(&engine.entry.data_centre).or_default() += 1;
-            self.ordered
-                .insert(engine.entry.id.clone(), Ordered { role, at: now, told_at: None });
+            self.ordered.insert(
+                engine.entry.id.clone(),
+                Ordered {
+                    role,
+                    at: now,
+                    told_at: None,
+                },
+            );
             changes.push(RoleChange {
                 upstream: engine.entry.id.clone(),
                 role,
