Fill the room of ordinary upstreams that went with cheap ones

Ruled out: ordering it at once; the bound is on both kinds together. A successor that starts must not order fewer. Change: once ordinary upstreams have gone, cheap ones fill the rest.

--- a/marigoldlock_core/src/gateway/capacity.rs
+++ b/marigoldlock_core/src/gateway/capacity.rs
@@ -90,11 +90,15 @@
             let site = self.sites.entry(data_centre.clone()).or_default();
             let alone = rule.max.div_ceil(ORDINARY_ALONE).max(rule.min);
             let beside = (rule.max / ORDINARY_BESIDE).max(rule.min).max(1);
-            let cheap = rule.max.saturating_sub(alone);
-            if cheap > 0 && counts.cheap != cheap {
+            let supply = site.follow(counts.cheap >= (alone - beside).max(1), rule.boot, now);
+            // The bound is on both kinds together, so the room of the ordinary ones that went is taken afterwards.
+            let is_exchanged = supply == CheapSupply::Settled && counts.ordinary <= beside;
+            let cheap = rule.max.saturating_sub(if is_exchanged { beside } else { alone });
+            let is_more = supply == CheapSupply::Starting && counts.cheap > cheap;
+            if cheap > 0 && counts.cheap != cheap && !is_more {
                 site.order(data_centre, true, cheap, now, &mut changes);
             }
-            let wanted = match site.follow(counts.cheap >= (alone - beside).max(1), rule.boot, now) {
+            let wanted = match supply {
                 CheapSupply::Settled => beside,
                 CheapSupply::Lost if counts.ordinary < alone => alone,
                 CheapSupply::Starting | CheapSupply::Lost => continue,
