Show the whole path on the platform's stand-ins with one command

Cause: a newcomer could see the platform path in tests only. Ruled out: a second copy of the site for the tests.

--- a/marigoldctl/src/dev/mod.rs
+++ b/marigoldctl/src/dev/mod.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod demo;
+mod platform;
 mod summary;
 mod workload;
 
@@ -29,6 +30,9 @@
     /// Run a bounded mixed workload with failures, print a JSON summary and end.
     #[arg(long)]
     demo: bool,
+    /// Run a bounded workload on stand-ins of the users' platform, print a JSON summary and end.
+    #[arg(long, conflicts_with = "demo")]
+    platform: bool,
     /// Seed of the demo's workload.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -49,6 +53,9 @@
     if args.instances == 0 || args.instances > 64 {
         bail!("--instances takes a number from 1 to 64");
     }
+    if args.platform {
+        return platform::run(&args).await;
+    }
     if args.demo {
         return demo::run(&args).await;
     }
--- /dev/null
+++ b/marigoldctl/src/dev/platform.rs
@@ -0,0 +1,79 @@
+//! `marigoldctl dev --platform`: the whole path on stand-ins of the users' platform.
+
+use eyre::{Result, bail};
+use marigoldlock_fleet::site::{PlatformSite, until};
+use serde::Serialize;
+
+use super::DevArgs;
+
+/// What a bounded run on the platform's stand-ins showed.
+#[derive(Debug, Default, Serialize)]
+struct PlatformSummary {
+    requests: usize,
+    answered: usize,
+    refused: usize,
+    unknown: usize,
+    ran_twice: usize,
+    falsely_refused: usize,
+    requests_reported: u64,
+    usage_conflicts: u32,
+}
+
+/// Runs a bounded mixed workload with lost answers and a killed instance; prints a JSON summary.
+///
+/// # Errors
+///
+/// Fails if the site doesn't start, or if a promise was broken.
+pub async fn run(args: &DevArgs) -> Result<()> {
+    let mut site = PlatformSite::start(args.instances.max(2)).await?;
+    let mut summary = PlatformSummary::default();
+    for number in 0..args.requests {
+        if number == args.requests / 3 {
+            set_lost_answers(&site, true);
+        }
+        if number == args.requests / 2 {
+            set_lost_answers(&site, false);
+            site.instances.remove(0).abort();
+        }
+        send_one(&site, number, &mut summary).await;
+    }
+    until("usage is reported", || site.reported() > 0).await?;
+    summary.requests_reported = site.reported();
+    summary.usage_conflicts = site.duties.conflicts();
+    println!("{}", serde_json::to_string_pretty(&summary)?);
+    site.close().await;
+    if summary.ran_twice + summary.falsely_refused > 0 || summary.usage_conflicts > 0 {
+        bail!("a promise was broken, see the summary");
+    }
+    Ok(())
+}
+
+fn set_lost_answers(site: &PlatformSite, lost: bool) {
+    if let Some(runner) = site.runners.iter().find(|runner| runner.id() == "a1") {
+        runner.set_faults(|faults| faults.loses_answers = lost);
+    }
+}
+
+async fn send_one(site: &PlatformSite, number: usize, summary: &mut PlatformSummary) {
+    let instance = &site.instances[number % site.instances.len()];
+    let path = ["/draft/x", "/look/x", "/book/x"][number % 3];
+    let attempt = format!("demo-{number}");
+    summary.requests += 1;
+    let status = match site.caller.send(instance.addresses().front, path, &attempt).await {
+        Ok(answer) => {
+            let status = answer.status().as_u16();
+            answer.bytes().await.map_or(0, |_| status)
+        }
+        Err(_) => 0,
+    };
+    let runs = site.runs_of(&attempt);
+    match status {
+        200 => summary.answered += 1,
+        503 => {
+            summary.refused += 1;
+            summary.falsely_refused += usize::from(runs > 0);
+        }
+        _ => summary.unknown += 1,
+    }
+    summary.ran_twice += usize::from(path.starts_with("/book") && runs > 1);
+}
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -58,10 +58,7 @@
 #[tokio::test]
 async fn unknown_keys_and_routes_are_refused() {
     let site = Site::start(1).await;
-    assert_eq!(
-        site.send_as(0, "/look/x", "l1", "stolen").await.unwrap().status(),
-        401
-    );
+    assert_eq!(site.send_as(0, "/look/x", "l1", "stolen").await.status(), 401);
     assert_eq!(site.send(0, "/nothing/x", "l2").await.status(), 404);
     assert_eq!(site.runs_of("l1") + site.runs_of("l2"), 0);
 }
@@ -217,13 +214,7 @@
         401,
         "the key was taken away"
     );
-    assert_eq!(
-        site.send_as(0, "/look/x", "l2", "key-new")
-            .await
-            .unwrap()
-            .status(),
-        200
-    );
+    assert_eq!(site.send_as(0, "/look/x", "l2", "key-new").await.status(), 200);
     site.store.put_settings(&site_settings(8));
     site.store.put("keyed.op", "config", Some(b"{\"Version\": 11"));
     site.store.put_settings(&{
@@ -275,12 +266,7 @@
 
 #[tokio::test]
 async fn an_instance_that_the_store_turns_away_learns_from_the_others() {
-    let mut site = Site::start(1).await;
-    site.start_instance(1).await;
-    until("the instances know each other", || {
-        site.instances.iter().all(|instance| instance.live_members() == 1)
-    })
-    .await;
+    let site = Site::start(2).await;
     // What one instance knows newer reaches the other without the store.
     let mut changed = site_settings(30);
     changed["Tenants"][0]["ApiKeys"] = serde_json::json!(["key-new"]);
@@ -302,10 +288,6 @@
             .map(|instance| instance.addresses().front.to_string())
             .collect()
     };
-    until("the instances know each other", || {
-        site.instances.iter().all(|instance| instance.live_members() == 1)
-    })
-    .await;
     let mut told = site.resolve(0).await;
     told.sort();
     let mut expected = fronts(&site);
@@ -343,26 +325,13 @@
     assert_eq!(request.await.unwrap(), 200);
 }
 
-/// Requests by customer over all accepted windows.
-fn reported(site: &Site) -> u64 {
-    site.duties
-        .usage()
-        .values()
-        .flat_map(|usage| usage.counts.values())
-        .sum()
-}
-
 #[tokio::test]
 async fn usage_is_reported_once_with_true_figures_through_a_change_of_holder() {
     let mut site = Site::start(2).await;
-    until("the instances know each other", || {
-        site.instances.iter().all(|instance| instance.live_members() == 1)
-    })
-    .await;
     for number in 0..10 {
         site.send(number % 2, "/look/x", &format!("l{number}")).await;
     }
-    until("ten requests are reported", || reported(&site) == 10).await;
+    until("ten requests are reported", || site.reported() == 10).await;
     let holders = |site: &Site| -> Vec<String> {
         let holders: BTreeMap<String, ()> = site
             .duties
@@ -381,7 +350,7 @@
     for number in 10..15 {
         site.send(0, "/look/x", &format!("l{number}")).await;
     }
-    until("fifteen requests are reported", || reported(&site) == 15).await;
+    until("fifteen requests are reported", || site.reported() == 15).await;
     assert_eq!(holders(&site), ["n0", "n1"]);
     assert_eq!(site.duties.conflicts(), 0);
 }
@@ -393,7 +362,7 @@
     for number in 0..5 {
         site.send(0, "/look/x", &format!("l{number}")).await;
     }
-    until("five requests are reported", || reported(&site) == 5).await;
+    until("five requests are reported", || site.reported() == 5).await;
     assert_eq!(site.duties.conflicts(), 0);
 }
 
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod instance;
 pub mod process;
+pub mod site;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- /dev/null
+++ b/marigoldlock_standin/src/site/caller.rs
@@ -0,0 +1,101 @@
+//! A caller of the platform, and the settings file of an instance there.
+
+use std::net::SocketAddr;
+
+use reqwest::{Method, Response};
+use serde_json::{Value, json};
+
+use super::{SITE_HOST, SITE_KEY};
+
+/// Body of every request that has one.
+pub const SITE_BODY: &str = "the body";
+
+/// Sends requests as the platform's callers do.
+#[derive(Clone, Debug)]
+pub struct SiteCaller {
+    http: reqwest::Client,
+}
+
+impl SiteCaller {
+    /// A caller.
+    ///
+    /// # Errors
+    ///
+    /// If no HTTP client can be built.
+    pub fn new() -> reqwest::Result<Self> {
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        Ok(Self { http })
+    }
+
+    /// Sends a request with the customer's key.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn send(&self, front: SocketAddr, path: &str, attempt: &str) -> reqwest::Result<Response> {
+        self.send_as(front, path, attempt, SITE_KEY).await
+    }
+
+    /// Sends a request with a key.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn send_as(
+        &self,
+        front: SocketAddr,
+        path: &str,
+        attempt: &str,
+        key: &str,
+    ) -> reqwest::Result<Response> {
+        let is_look = path.starts_with("/look");
+        self.http
+            .request(
+                if is_look { Method::GET } else { Method::POST },
+                format!("http://{front}{path}"),
+            )
+            .header("Host", SITE_HOST)
+            .header("Attempt-Id", attempt)
+            .header("Authorization", format!("Bearer {key}"))
+            .header("Deadline-Ms", "3000")
+            .header("Token-Counts", "5000,20")
+            .header("Prompt-Prefix", "aa:4000,bb:1000")
+            .body(if is_look { "" } else { SITE_BODY })
+            .send()
+            .await
+    }
+
+    /// Asks which addresses to use in the site's data centre.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer that can be read.
+    pub async fn resolve(&self, directory: SocketAddr) -> reqwest::Result<Vec<String>> {
+        let url = format!("http://{directory}/resolve?Name={SITE_HOST}&Region=r&Zone=a");
+        let answer: Value = self
+            .http
+            .get(url)
+            .send()
+            .await?
+            .error_for_status()?
+            .json()
+            .await?;
+        let addresses = answer["Addresses"].as_array().cloned().unwrap_or_default();
+        Ok(addresses
+            .iter()
+            .filter_map(Value::as_str)
+            .map(str::to_owned)
+            .collect())
+    }
+}
+
+/// Settings file of an instance on loopback; free ports are taken.
+pub fn instance_file(name: &str, store: SocketAddr, duties: SocketAddr) -> Value {
+    json!({
+        "Node": name, "Zone": "a", "Ip": "127.0.0.1", "InternalPorts": [0, 0], "Seeds": [],
+        "Listen": {"Front": "127.0.0.1:0", "Readiness": "127.0.0.1:0", "Directory": "127.0.0.1:0"},
+        "Limits": {"MemoryMb": 260, "FileDescriptors": 4100},
+        "Bounds": {"ReportWindowS": 1, "LeaseMs": 500, "GraceS": 8, "RetryRatio": 0.2, "RetrySlack": 50},
+        "Platform": {"Address": store}, "Cloud": {"Address": duties},
+    })
+}
--- a/marigoldlock_standin/src/site/mod.rs
+++ b/marigoldlock_standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! Speaks the platform's published protocol, as far as marigoldlock uses it, and keeps what the checks need:
 //! which attempts ran where, and what was reported.
 
+mod caller;
 mod duties;
 mod runner;
 mod store;
@@ -14,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+pub use self::caller::{SITE_BODY, SiteCaller, instance_file};
 pub use self::duties::{AcceptedUsage, DutyStandin, ScaleOrder};
 pub use self::runner::{RunRecord, RunnerFaults, RunnerOptions, RunnerStandin};
 pub use self::store::{StoreFaults, StoreStandin};
