End the instances' long polls in turn

Ruled out: a lost record (offsets are without a gap), a stale listing, a wrong cursor; short polls everywhere (billed). A stand-in store whose waiting calls hear nothing. Before: the new test times out. After: it passes.

--- a/marigoldlock/src/gateway/cursor.rs
+++ b/marigoldlock/src/gateway/cursor.rs
@@ -11,6 +11,13 @@
 /// Longest wait of one long poll: each poll is billed, and a dead connection is found by the kernel.
 const POLL_WAIT: Duration = Duration::from_secs(10);
 
+/// Time between two polls of the whole fleet. A long poll was seen to miss records for seconds, at all instances at
+/// once, and a leaving upstream must get no work two seconds after its notice.
+const POLL_SLOT: Duration = Duration::from_millis(500);
+
+/// Shortest wait of a long poll.
+const POLL_LEAST: Duration = Duration::from_millis(50);
+
 /// When a stream is listed again after records were dropped. A leaving upstream must get no work two seconds after
 /// its notice; stale listings were seen for up to six seconds.
 const LIST_AGAIN: [Duration; 5] = [
@@ -21,6 +28,21 @@
     Duration::from_millis(7_000),
 ];
 
+/// Wait of the long poll that starts at `unix_ms` at the instance with this rank among `count`: the instances end
+/// theirs in turn, one in each [`POLL_SLOT`], and tell each other what they find.
+pub fn poll_wait(rank: usize, count: usize, unix_ms: u64) -> Duration {
+    let slot = u64::try_from(POLL_SLOT.as_millis()).unwrap_or(u64::MAX);
+    let period = slot * count.max(1) as u64;
+    let own = slot * rank as u64;
+    let wait = Duration::from_millis((own + period - unix_ms % period) % period);
+    let wait = if wait < POLL_LEAST {
+        wait + Duration::from_millis(period)
+    } else {
+        wait
+    };
+    wait.min(POLL_WAIT)
+}
+
 /// What a follower does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextCall {
@@ -38,8 +60,8 @@
 }
 
 impl FollowCursor {
-    /// What to call at `now`.
-    pub fn next_call(&mut self, now: Instant) -> NextCall {
+    /// What to call at `now`, with the wait of a long poll.
+    pub fn next_call(&mut self, now: Instant, wait: Duration) -> NextCall {
         let Some(next) = self.next else {
             return NextCall::List;
         };
@@ -48,8 +70,8 @@
                 self.list_at.pop_front();
                 NextCall::List
             }
-            Some(due) => NextCall::Follow(next, POLL_WAIT.min(*due - now)),
-            None => NextCall::Follow(next, POLL_WAIT),
+            Some(due) => NextCall::Follow(next, wait.min(*due - now)),
+            None => NextCall::Follow(next, wait),
         }
     }
 
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use super::Gateway;
-use super::cursor::{FollowCursor, NextCall};
+use super::cursor::{FollowCursor, NextCall, poll_wait};
 use super::state::RawRecord;
 
 /// First pause after a failed call.
@@ -50,7 +50,7 @@
     let mut pause = RetryPause::default();
     let mut cursor = FollowCursor::default();
     loop {
-        let result = match cursor.next_call(tokio::time::Instant::now()) {
+        let result = match cursor.next_call(tokio::time::Instant::now(), own_wait(gateway)) {
             NextCall::List => {
                 let listed = gateway.parts.store.list(stream).await;
                 listed.map(|listing| (listing, true))
@@ -79,6 +79,19 @@
     }
 }
 
+fn own_wait(gateway: &Gateway) -> Duration {
+    let now = gateway.now();
+    let unix_ms = gateway.true_ms();
+    let own = &gateway.parts.card.id;
+    let state = gateway.state();
+    let rank = state
+        .members
+        .live(now)
+        .filter(|member| member.card.id < *own)
+        .count();
+    poll_wait(rank, state.members.live(now).count() + 1, unix_ms)
+}
+
 /// Announces the instance in the store and reads who else is there.
 pub async fn join_members(gateway: Arc<Gateway>) {
     let mut pause = RetryPause::default();
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -264,6 +264,26 @@
     until("a1 leaves", || site.instances[0].usable_upstreams() == 4).await;
 }
 
+#[tokio::test]
+async fn a_change_that_no_long_poll_hears_is_found() {
+    let site = Site::start(2).await;
+    site.store.set_faults(|faults| faults.deaf_waits = true);
+    let calls = site.store.calls();
+    site.store
+        .put_upstream("a1", Some(&site.runner("a1").entry("draining")));
+    until("a1 leaves everywhere", || {
+        site.instances
+            .iter()
+            .all(|instance| instance.usable_upstreams() == 4)
+    })
+    .await;
+    let polls = site.store.calls() - calls;
+    assert!(
+        polls < 40,
+        "found by the turns, not by polling all the time: {polls} calls"
+    );
+}
+
 #[tokio::test]
 async fn an_instance_that_the_store_turns_away_learns_from_the_others() {
     let site = Site::start(2).await;
--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -29,6 +29,8 @@
     pub refuse: Option<u16>,
     /// Appends that take effect and are not answered, from now on.
     pub lost_answers: u32,
+    /// Calls that wait are not told of new records; they find them when they are made anew.
+    pub deaf_waits: bool,
     /// Listings leave out changes from this offset on.
     pub stale_from: Option<u64>,
 }
@@ -119,7 +121,9 @@
             .entry(topic.to_owned())
             .or_default()
             .push(topic, Bytes::from(record));
-        self.shared.1.notify_waiters();
+        if !lock(&self.shared).faults.deaf_waits {
+            self.shared.1.notify_waiters();
+        }
     }
 
     /// Drops all records of a topic but the newest of each key.
@@ -225,9 +229,21 @@
             () = changed => {}
             () = tokio::time::sleep_until(due) => {}
         }
+        if tokio::time::Instant::now() >= due && lock(&shared).faults.deaf_waits {
+            let end = lock(&shared)
+                .topics
+                .get(&query.topic)
+                .map_or(0, |topic| topic.first);
+            return offsets(query.from, end).into_response();
+        }
     }
 }
 
+/// The two offsets before the records of an answer.
+fn offsets(end: u64, first: u64) -> Vec<u8> {
+    [end.to_be_bytes(), first.to_be_bytes()].concat()
+}
+
 fn read_now(shared: &Shared, query: &TopicQuery, is_due: bool) -> Option<Response> {
     let mut state = lock(shared);
     if let Some(status) = state.faults.refuse {
@@ -243,9 +259,7 @@
         return None;
     }
     let skipped = usize::try_from(query.from - topic.first).unwrap_or(usize::MAX);
-    let mut body = Vec::new();
-    body.extend_from_slice(&topic.end().to_be_bytes());
-    body.extend_from_slice(&topic.first.to_be_bytes());
+    let mut body = offsets(topic.end(), topic.first);
     for record in topic.records.iter().skip(skipped) {
         body.extend_from_slice(&u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
         body.extend_from_slice(record);
