--- a/marigoldlock/tests/support/process.rs
+++ b/marigoldlock/tests/support/process.rs
@@ -38,7 +38,7 @@
             .args(flags)
             .env("RUST_LOG", "info")
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
+            .stderr(Stdio::inherit())
             .spawn()
             .expect("the instance's own binary starts");
         let (address, peer_address) = started_at(&mut child);
@@ -119,11 +119,11 @@
 
 /// Reads the addresses from the log line that tells of the start; the rest of the log is read and dropped.
 fn started_at(child: &mut Child) -> (String, String) {
-    let stderr = child.stderr.take().expect("the log is piped");
+    let stdout = child.stdout.take().expect("the log is piped");
     let (sender, receiver) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let shown = std::env::var_os(SHOW_LOGS).is_some();
-        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
             if shown {
                 eprintln!("{line}");
             }
