Split attempts and the reading of prompts into files; count a reader's failures as such

Ruled out: noting it in the ledger too, as a reading runs nothing. Change: attempt.rs, reading.rs; the health of an upstream is noted apart from the ledger.

--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! decisions. One task serves each caller's connection; what they share stands in [`GatewayState`] behind one
 //! lock that is never held across an await.
 
+mod attempt;
 mod capacity;
 mod cursor;
 mod duties;
@@ -11,6 +12,7 @@
 mod front;
 mod links;
 mod peers;
+mod reading;
 mod respond;
 mod roles;
 mod session;
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -177,6 +177,18 @@
     assert_eq!(site.runs_of("s1"), 1);
 }
 
+#[tokio::test]
+async fn a_reader_whose_answers_are_lost_costs_no_request() {
+    let site = Site::start(1).await;
+    site.runner("p1").set_faults(|faults| faults.loses_answers = true);
+    for number in 0..4 {
+        let attempt = format!("s{number}");
+        let answer = site.send(0, "/draft/x", &attempt).await;
+        assert_eq!(event_ids(&answer.text().await.unwrap()), ALL_EVENTS);
+        assert_eq!(site.runs_of(&attempt), 1);
+    }
+}
+
 #[tokio::test]
 async fn leaving_gone_and_unreadable_upstreams_get_no_work() {
     let site = Site::start(1).await;
