--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -96,9 +96,6 @@
 
     /// State of an upstream, made if it is new.
     pub fn upstream(&mut self, id: &UpstreamId) -> &mut UpstreamState {
-        if !self.upstreams.contains_key(id) {
-            self.upstreams.insert(id.clone(), UpstreamState::default());
-        }
         self.upstreams.entry(id.clone()).or_default()
     }
 
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -105,11 +105,6 @@
         self.usage.get(&window).map(Vec::as_slice)
     }
 
-    /// Last window whose figures are fixed.
-    pub fn last_window(&self) -> Option<u64> {
-        self.usage.keys().max().copied()
-    }
-
     /// True if the duties may be claimed: the last claim is older than `lease`, so that holders never take turns
     /// within it.
     pub fn may_claim(&self, now: MonoTime, lease: Duration) -> bool {
--- a/marigoldlock_core/src/gateway/prefix.rs
+++ b/marigoldlock_core/src/gateway/prefix.rs
@@ -45,11 +45,6 @@
             .sum()
     }
 
-    /// Forgets everything.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
-
     fn evict(&mut self, capacity: u64) {
         // Evicts below the capacity, so that the sort is paid for once in many records.
         let goal = capacity - capacity / 10;
--- a/marigoldlock_core/src/gateway/route.rs
+++ b/marigoldlock_core/src/gateway/route.rs
@@ -216,11 +216,6 @@
     pub fn key_owner(&self, key: &str) -> Option<&KeyOwner> {
         self.keys.as_ref()?.get(key)
     }
-
-    /// Hosts that routes name.
-    pub fn hosts(&self) -> impl Iterator<Item = &str> {
-        self.routes.keys().map(String::as_str)
-    }
 }
 
 fn strip_port(host: &str) -> &str {
--- a/marigoldlock_core/src/gateway/windows.rs
+++ b/marigoldlock_core/src/gateway/windows.rs
@@ -52,11 +52,6 @@
         }
     }
 
-    /// Drops windows before `window`.
-    pub fn forget_before(&mut self, window: u64) {
-        self.windows.retain(|kept, _| *kept >= window);
-    }
-
     /// Counts of one instance since `window`, to tell others.
     pub fn told_by(&self, source: &Source, window: u64) -> Vec<WindowCounts> {
         let mut told: Vec<WindowCounts> = self
