--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -68,7 +68,7 @@
     /// Notes a whole answer and keeps its connection.
     pub fn keep_link(&self, entry: &UpstreamEntry, sender: LinkSender, head: &AnswerHead) {
         let now = self.gateway.now();
-        self.gateway.state().upstream(&entry.id).record_success();
+        self.gateway.state().upstream(&entry.id).record_success(now);
         if !head.is_closing {
             self.gateway.links().keep(&entry.id, sender, head.keep_alive, now);
         }
--- /dev/null
+++ b/marigoldlock/src/gateway/catch_up.rs
@@ -0,0 +1,274 @@
+//! Learns from other instances what this one has missed.
+//!
+//! Only a few instances read the store; the others, and those that the store turns away, take settings and
+//! upstreams from an instance that knows more.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use marigoldlock_core::gateway::border::KeyedRecord;
+use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::members::{KnowledgeMark, MemberStage, MemberState};
+use marigoldlock_core::prelude::*;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use super::follow::{apply_settings, apply_upstream, become_ready};
+use super::links::{LinkSender, connect};
+use super::{Gateway, codec};
+
+/// Time for which a follower waits for its own long poll before it asks another instance.
+const OWN_POLL_FIRST: Duration = Duration::from_millis(150);
+
+/// Shortest time between two questions for what was missed, which gathers changes that come together.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Longest time between two looks at what others know.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Longest time for a question.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time for which listings may differ at the same offset before the whole listing is asked for: after the store
+/// dropped records, followers find some changes late.
+const DIFFER_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// What an instance asks another for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ChangeQuestion {
+    /// Version of the settings that is known.
+    settings_version: u64,
+    /// Records of upstreams from this offset on are asked for.
+    upstreams_from: u64,
+}
+
+/// What an instance tells another that has missed changes.
+#[derive(Debug, Deserialize, Serialize)]
+struct ChangeAnswer {
+    settings: Vec<u8>,
+    settings_offset: u64,
+    upstreams: Vec<(String, u64, Option<Vec<u8>>)>,
+    upstreams_offset: u64,
+}
+
+/// Keeps up with other instances, for ever.
+pub async fn catch_up(gateway: &Gateway) {
+    let mut asker = ChangeAsker::default();
+    loop {
+        tokio::select! {
+            () = gateway.peer_differs.notified() => {}
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+        }
+        asker.look(gateway).await;
+        tokio::time::sleep(ASK_EVERY).await;
+    }
+}
+
+#[derive(Default)]
+struct ChangeAsker {
+    /// Connection to the instance that was asked last.
+    link: Option<(SocketAddr, LinkSender)>,
+    behind_since: Option<MonoTime>,
+    /// Digest that another instance has at the same offset, and since when it differs.
+    differs: Option<(u64, MonoTime)>,
+}
+
+impl ChangeAsker {
+    async fn look(&mut self, gateway: &Gateway) {
+        let now = gateway.now();
+        let Some((address, question)) = self.next_question(gateway, now) else {
+            return;
+        };
+        match tokio::time::timeout(ASK_TIMEOUT, self.ask(address, question)).await {
+            Ok(Ok(answer)) => {
+                log::info!(
+                    peer:% = address, upstreams_from = question.upstreams_from, upstreams_offset = answer.upstreams_offset,
+                    upstreams = answer.upstreams.len(), settings_bytes = answer.settings.len();
+                    "caught up from another instance"
+                );
+                take(gateway, answer);
+            }
+            Ok(Err(err)) => {
+                self.link = None;
+                log::info!(peer:% = address, error:% = err; "another instance could not be asked");
+            }
+            Err(_) => {
+                self.link = None;
+                log::info!(peer:% = address; "another instance did not answer in time");
+            }
+        }
+    }
+
+    /// Whom to ask for what, if anybody knows more.
+    fn next_question(&mut self, gateway: &Gateway, now: MonoTime) -> Option<(SocketAddr, ChangeQuestion)> {
+        let state = gateway.state();
+        let own = state.knowledge();
+        let card = &gateway.parts.card;
+        let view = FleetView {
+            own: card,
+            members: &state.members,
+            now,
+        };
+        let informed: Vec<&MemberState> = state
+            .members
+            .live(now)
+            .filter(|member| member.report.stage != MemberStage::Starting)
+            .collect();
+        let ahead: Vec<&MemberState> = informed
+            .iter()
+            .copied()
+            .filter(|member| is_ahead(&member.report.knowledge, &own))
+            .collect();
+        if ahead.is_empty() {
+            self.behind_since = None;
+            return self.differing(&informed, &own, now);
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if view.is_follower() && now.since(since) < OWN_POLL_FIRST {
+            return None;
+        }
+        let question = ChangeQuestion {
+            settings_version: own.settings_version,
+            upstreams_from: own.upstreams_offset,
+        };
+        Some((self.pick(&ahead, &card.data_centre), question))
+    }
+
+    /// Asks for the whole listing if another instance's differs at the same offset for a while.
+    fn differing(
+        &mut self,
+        informed: &[&MemberState],
+        own: &KnowledgeMark,
+        now: MonoTime,
+    ) -> Option<(SocketAddr, ChangeQuestion)> {
+        let other = informed.iter().find(|member| {
+            let knowledge = &member.report.knowledge;
+            knowledge.upstreams_offset == own.upstreams_offset
+                && knowledge.upstreams_digest != own.upstreams_digest
+        });
+        let Some(other) = other else {
+            self.differs = None;
+            return None;
+        };
+        let digest = other.report.knowledge.upstreams_digest;
+        match self.differs {
+            Some((known, since)) if known == digest => {
+                if now.since(since) < DIFFER_PATIENCE {
+                    return None;
+                }
+                // Asked once for each digest: the other may be the one that has missed something.
+                self.differs = Some((digest, now + Duration::from_secs(3_600)));
+                let question = ChangeQuestion {
+                    settings_version: own.settings_version,
+                    upstreams_from: 0,
+                };
+                Some((other.card().peer, question))
+            }
+            _ => {
+                self.differs = Some((digest, now));
+                None
+            }
+        }
+    }
+
+    /// The instance that was asked last if it still knows more, or else a near one.
+    fn pick(&self, ahead: &[&MemberState], data_centre: &DataCentre) -> SocketAddr {
+        if let Some((address, _)) = &self.link
+            && ahead.iter().any(|member| member.card().peer == *address)
+        {
+            return *address;
+        }
+        let near: Vec<&&MemberState> = ahead
+            .iter()
+            .filter(|member| member.card().data_centre == *data_centre)
+            .collect();
+        let at = rand::rng().random_range(0..near.len().max(ahead.len()));
+        match near.get(at % near.len().max(1)) {
+            Some(member) => member.card().peer,
+            None => ahead[at % ahead.len()].card().peer,
+        }
+    }
+
+    async fn ask(&mut self, address: SocketAddr, question: ChangeQuestion) -> std::io::Result<ChangeAnswer> {
+        let kept = self.link.take();
+        let mut link = match kept {
+            Some((known, link)) if known == address && !link.is_closed() => link,
+            _ => connect(address).await?,
+        };
+        let question = codec::encode(&question).map_err(std::io::Error::other)?;
+        let request = http::Request::post("/")
+            .header(http::header::HOST, address.to_string())
+            .body(Full::new(question))
+            .map_err(std::io::Error::other)?;
+        let response = link.send_request(request).await.map_err(std::io::Error::other)?;
+        let body = Limited::new(response.into_body(), ANSWER_BYTES).collect().await;
+        let bytes = body.map_err(std::io::Error::other)?.to_bytes();
+        let answer = codec::decode(&bytes).map_err(std::io::Error::other)?;
+        self.link = Some((address, link));
+        Ok(answer)
+    }
+}
+
+fn is_ahead(other: &KnowledgeMark, own: &KnowledgeMark) -> bool {
+    other.settings_version > own.settings_version || other.upstreams_offset > own.upstreams_offset
+}
+
+fn take(gateway: &Gateway, answer: ChangeAnswer) {
+    if !answer.settings.is_empty() {
+        apply_settings(gateway, &Bytes::from(answer.settings), "instance");
+    }
+    for (key, offset, value) in answer.upstreams {
+        let record = KeyedRecord {
+            offset,
+            key,
+            value: value.map(Bytes::from),
+        };
+        apply_upstream(gateway, &record);
+    }
+    let mut state = gateway.state();
+    state.settings_offset = state.settings_offset.max(answer.settings_offset);
+    state.upstreams_offset = state.upstreams_offset.max(answer.upstreams_offset);
+    drop(state);
+    become_ready(gateway);
+}
+
+/// Answers another instance's question.
+pub fn answer(gateway: &Gateway, question: &[u8]) -> Bytes {
+    let question: ChangeQuestion = match codec::decode(question) {
+        Ok(question) => question,
+        Err(err) => {
+            log::warn!(error:% = err; "a question for changes can't be read");
+            return Bytes::new();
+        }
+    };
+    let state = gateway.state();
+    let knows_newer = state.knowledge().settings_version > question.settings_version;
+    let answer = ChangeAnswer {
+        settings: if knows_newer {
+            state.settings_raw.to_vec()
+        } else {
+            Vec::new()
+        },
+        settings_offset: state.settings_offset,
+        upstreams: state
+            .upstreams_raw
+            .iter()
+            .filter(|(_, raw)| raw.offset >= question.upstreams_from)
+            .map(|(key, raw)| {
+                let value = raw.value.as_ref().map(|value| value.to_vec());
+                (key.clone(), raw.offset, value)
+            })
+            .collect(),
+        upstreams_offset: state.upstreams_offset,
+    };
+    drop(state);
+    codec::encode(&answer).unwrap_or_else(|err| {
+        log::error!(error:% = err; "an answer about changes can't be written");
+        Bytes::new()
+    })
+}
--- a/marigoldlock/src/gateway/cursor.rs
+++ b/marigoldlock/src/gateway/cursor.rs
@@ -8,11 +8,12 @@
 
 use tokio::time::Instant;
 
-/// Longest wait of one long poll: each poll is billed, and a dead connection is found by the kernel.
-const POLL_WAIT: Duration = Duration::from_secs(10);
+/// Time in which each follower ends one long poll, in turn, and learns that nothing has changed. A long poll was seen
+/// to miss records for seconds, at all instances at once, and a leaving upstream must get no work two seconds
+/// after its notice; each poll is billed.
+const POLL_PERIOD: Duration = Duration::from_millis(1_200);
 
-/// Time between two polls of the whole fleet. A long poll was seen to miss records for seconds, at all instances at
-/// once, and a leaving upstream must get no work two seconds after its notice.
+/// Longest time between two polls that end, over all followers.
 const POLL_SLOT: Duration = Duration::from_millis(500);
 
 /// Shortest wait of a long poll.
@@ -28,19 +29,19 @@
     Duration::from_millis(7_000),
 ];
 
-/// Wait of the long poll that starts at `unix_ms` at the instance with this rank among `count`: the instances end
-/// theirs in turn, one in each [`POLL_SLOT`], and tell each other what they find.
+/// Wait of the long poll that starts at `unix_ms` at the follower with this rank among `count`: the followers end
+/// theirs in turn, spread over [`POLL_PERIOD`], and tell the others what they find.
 pub fn poll_wait(rank: usize, count: usize, unix_ms: u64) -> Duration {
-    let slot = u64::try_from(POLL_SLOT.as_millis()).unwrap_or(u64::MAX);
-    let period = slot * count.max(1) as u64;
-    let own = slot * rank as u64;
+    let count = count.max(1);
+    let period = POLL_PERIOD.min(POLL_SLOT * u32::try_from(count).unwrap_or(u32::MAX));
+    let period = u64::try_from(period.as_millis()).unwrap_or(u64::MAX);
+    let own = period * rank as u64 / count as u64;
     let wait = Duration::from_millis((own + period - unix_ms % period) % period);
-    let wait = if wait < POLL_LEAST {
+    if wait < POLL_LEAST {
         wait + Duration::from_millis(period)
     } else {
         wait
-    };
-    wait.min(POLL_WAIT)
+    }
 }
 
 /// What a follower does next.
@@ -84,6 +85,11 @@
         };
     }
 
+    /// Goes on at `offset` if others have read that far meanwhile.
+    pub fn skip_to(&mut self, offset: u64) {
+        self.next = self.next.map(|next| next.max(offset));
+    }
+
     /// Goes on at the first record that is kept, after older ones were dropped.
     pub fn restart(&mut self, first: u64, now: Instant) {
         // An offset that is neither kept nor dropped can't be read on from.
--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -9,6 +9,7 @@
 use marigoldlock_core::gateway::border::{AppendOutcome, DutyHolder, DutyOutcome, StoreError, StoreStream};
 use marigoldlock_core::gateway::call::CustomerCounts;
 use marigoldlock_core::gateway::duty::DutyRecord;
+use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::MemberStage;
 use marigoldlock_core::prelude::*;
 
@@ -25,6 +26,10 @@
 /// Time without a holder after which an instance claims the duties: longer than a missed heartbeat.
 const HOLDER_MISSING: Duration = Duration::from_millis(1_200);
 
+/// Time after taking the duties before the first figures are fixed: all instances must have told the new holder what
+/// they counted.
+const HEAR_COUNTS: Duration = Duration::from_millis(1_500);
+
 /// Failed calls to the store in a row after which a holder lets go.
 const FAILURES_TO_RELEASE: u32 = 3;
 
@@ -58,6 +63,7 @@
     let mut keeper = DutyKeeper {
         gateway,
         missing_since: None,
+        held_since: None,
         failures: 0,
         reported: FastSet::default(),
         roles: RoleKeeper::default(),
@@ -72,6 +78,7 @@
 struct DutyKeeper {
     gateway: Arc<Gateway>,
     missing_since: Option<MonoTime>,
+    held_since: Option<MonoTime>,
     failures: u32,
     reported: FastSet<u64>,
     roles: RoleKeeper,
@@ -98,15 +105,21 @@
         let own = &self.gateway.parts.card.id;
         let (has_holder, is_first) = {
             let state = self.gateway.state();
-            let mut live = state
-                .members
-                .live(now)
-                .filter(|member| member.stage == MemberStage::Ready);
-            let is_first = live.all(|member| member.card.id > *own);
-            (
-                state.members.live(now).any(|member| member.duty_fence.is_some()),
-                is_first,
-            )
+            let members = &state.members;
+            let is_ready = |id: &InstanceId| {
+                id == own
+                    || members
+                        .live(now)
+                        .any(|member| member.card().id == *id && member.report.stage == MemberStage::Ready)
+            };
+            let view = FleetView {
+                own: &self.gateway.parts.card,
+                members,
+                now,
+            };
+            let first = view.ranked().into_iter().find(|card| is_ready(&card.id));
+            let has_holder = members.live(now).any(|member| member.report.duty_fence.is_some());
+            (has_holder, first.is_some_and(|card| card.id == *own))
         };
         if has_holder {
             self.missing_since = None;
@@ -160,6 +173,7 @@
     fn hold(&mut self, fence: u64) {
         log::info!(fence; "duties taken");
         self.missing_since = None;
+        self.held_since = Some(self.gateway.now());
         self.failures = 0;
         self.reported.clear();
         self.gateway.state().duty_fence = Some(fence);
@@ -181,7 +195,7 @@
             state
                 .members
                 .live(now)
-                .any(|member| member.duty_fence.is_some_and(|other| other > fence))
+                .any(|member| member.report.duty_fence.is_some_and(|other| other > fence))
         };
         if is_superseded {
             self.release("another instance holds a higher fencing number");
@@ -195,6 +209,9 @@
             self.release("the platform has seen a higher fencing number");
             return;
         }
+        if self.held_since.is_none_or(|since| now.since(since) < HEAR_COUNTS) {
+            return;
+        }
         let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
         let current = self.gateway.window(settled);
         let length = self.gateway.parts.bounds.usage_window;
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -6,9 +6,11 @@
 use bytes::Bytes;
 use marigoldlock_core::gateway::border::KeyedRecord;
 use marigoldlock_core::gateway::catalog::CatalogChange;
+use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::state::UpstreamState;
+use marigoldlock_core::prelude::*;
 use rand::Rng;
 
 use super::Gateway;
@@ -21,8 +23,14 @@
 /// Longest pause after failed calls: a change must be in force soon after the store's return.
 const RETRY_MOST: Duration = Duration::from_millis(700);
 
-/// Time between two reads of the member list, which only serves instances that never met.
-const MEMBERS_EVERY: Duration = Duration::from_secs(20);
+/// Time between two reads of the member list by anybody in the fleet: it only serves instances that never met.
+const MEMBERS_EVERY: Duration = Duration::from_millis(2_500);
+
+/// Time between two looks at whether this instance should read the store itself.
+const FOLLOW_CHECK: Duration = Duration::from_millis(100);
+
+/// Pause after a change was read: changes come in groups, and each call is billed.
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time between checks for entries whose grace is over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(200);
@@ -50,6 +58,11 @@
     let mut pause = RetryPause::default();
     let mut cursor = FollowCursor::default();
     loop {
+        if !is_follower(gateway) {
+            tokio::time::sleep(FOLLOW_CHECK).await;
+            continue;
+        }
+        cursor.skip_to(known_offset(gateway, stream));
         let result = match cursor.next_call(tokio::time::Instant::now(), own_wait(gateway)) {
             NextCall::List => {
                 let listed = gateway.parts.store.list(stream).await;
@@ -66,6 +79,9 @@
                 note_reached(gateway, stream);
                 cursor.advance(listing.next_offset, is_whole);
                 apply(gateway, stream, &listing.records, listing.next_offset, is_whole);
+                if !listing.records.is_empty() {
+                    tokio::time::sleep(CHANGE_PAUSE).await;
+                }
             }
             Err(StoreError::Gone(first)) => {
                 log::info!(stream:%, first; "records were dropped by the store; the whole stream is read again");
@@ -79,17 +95,33 @@
     }
 }
 
+/// True if this instance reads the store for the others; until it serves it does so for itself.
+fn is_follower(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.state();
+    state.stage == MemberStage::Starting || state.is_follower(&gateway.parts.card, now)
+}
+
+fn known_offset(gateway: &Gateway, stream: StoreStream) -> u64 {
+    let state = gateway.state();
+    match stream {
+        StoreStream::Settings => state.settings_offset,
+        _ => state.upstreams_offset,
+    }
+}
+
+/// Wait of the next long poll, which ends in this follower's turn.
 fn own_wait(gateway: &Gateway) -> Duration {
     let now = gateway.now();
     let unix_ms = gateway.true_ms();
-    let own = &gateway.parts.card.id;
     let state = gateway.state();
-    let rank = state
-        .members
-        .live(now)
-        .filter(|member| member.card.id < *own)
-        .count();
-    poll_wait(rank, state.members.live(now).count() + 1, unix_ms)
+    let view = FleetView {
+        own: &gateway.parts.card,
+        members: &state.members,
+        now,
+    };
+    let (rank, count) = view.turn();
+    poll_wait(rank, count, unix_ms)
 }
 
 /// Announces the instance in the store and reads who else is there.
@@ -119,7 +151,8 @@
                 for record in &listing.records {
                     learn_member(&gateway, record);
                 }
-                tokio::time::sleep(MEMBERS_EVERY).await;
+                let instances = u32::try_from(gateway.state().instances()).unwrap_or(u32::MAX);
+                tokio::time::sleep(MEMBERS_EVERY * instances).await;
             }
             Err(err) => {
                 log::debug!(error:% = err; "the member list can't be read");
@@ -156,6 +189,8 @@
                     apply_settings(gateway, value, "store");
                 }
             }
+            let mut state = gateway.state();
+            state.settings_offset = state.settings_offset.max(next_offset);
         }
         StoreStream::Upstreams => apply_upstreams(gateway, records, next_offset, is_whole),
         StoreStream::Members | StoreStream::Duties => {}
@@ -186,37 +221,45 @@
     for record in records {
         apply_upstream(gateway, record);
     }
-    let now = gateway.now();
-    let mut state = gateway.state();
-    let state = &mut *state;
     // A listing that is older than what is known can't tell what is gone.
-    if is_whole && next_offset >= state.upstreams_offset {
-        let ids = records
-            .iter()
-            .filter(|record| record.value.is_some())
-            .map(|record| record.key.clone());
-        state.catalog.retain(&ids.collect(), now, state.store_back);
+    if is_whole && next_offset >= gateway.state().upstreams_offset {
+        for record in missing(gateway, records, next_offset) {
+            apply_upstream(gateway, &record);
+        }
     }
+    let mut state = gateway.state();
     state.upstreams_offset = state.upstreams_offset.max(next_offset);
 }
 
+/// Removals of the upstreams that a whole listing no longer names; their records were dropped by the store.
+fn missing(gateway: &Gateway, listed: &[KeyedRecord], next_offset: u64) -> Vec<KeyedRecord> {
+    let listed: FastSet<&str> = listed.iter().map(|record| record.key.as_str()).collect();
+    let state = gateway.state();
+    let gone = state
+        .upstreams_raw
+        .iter()
+        .filter(|(key, raw)| raw.value.is_some() && !listed.contains(key.as_str()));
+    gone.map(|(key, _)| KeyedRecord {
+        offset: next_offset.saturating_sub(1),
+        key: key.clone(),
+        value: None,
+    })
+    .collect()
+}
+
 /// Takes one record of an upstream, unless a newer one is known.
 pub fn apply_upstream(gateway: &Gateway, record: &KeyedRecord) {
     let now = gateway.now();
     let mut state = gateway.state();
     let state = &mut *state;
-    if state
-        .upstreams_raw
-        .get(&record.key)
-        .is_some_and(|known| known.offset >= record.offset)
-    {
-        return;
-    }
     let raw = RawRecord {
         offset: record.offset,
         value: record.value.clone(),
     };
-    state.upstreams_raw.insert(record.key.clone(), raw);
+    if !state.put_raw(&record.key, raw) {
+        return;
+    }
+    let store_back = state.store_back(&gateway.parts.card, now);
     let entry = record
         .value
         .as_ref()
@@ -239,7 +282,7 @@
             log::warn!(upstream = record.key, error:% = err; "an upstream's entry can't be read; it gets no work");
             state.catalog.remove(&record.key, now, None)
         }
-        None => state.catalog.remove(&record.key, now, state.store_back),
+        None => state.catalog.remove(&record.key, now, store_back),
     };
     if change != CatalogChange::None {
         log::info!(
@@ -263,6 +306,7 @@
 fn note_reached(gateway: &Gateway, stream: StoreStream) {
     let now = gateway.now();
     let mut state = gateway.state();
+    state.store_answer_at = Some(now);
     if !state.store_reached {
         state.store_reached = true;
         state.store_back = Some(now);
--- a/marigoldlock/src/gateway/front.rs
+++ b/marigoldlock/src/gateway/front.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -13,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::respond::{AnswerBody, whole};
-use super::{Gateway, peers, session};
+use super::{Gateway, catch_up, session};
 
 /// Wait after a failed accept, which means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -33,6 +34,9 @@
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const BUFFER_BYTES_LEAST: usize = 8 << 10;
 
+/// Largest question of another instance, in bytes.
+const QUESTION_BYTES: usize = 1 << 10;
+
 /// Who is served on a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Surface {
@@ -114,7 +118,17 @@
         Surface::Callers => session::serve(gateway, request).await,
         Surface::Instance => answer_about(&gateway, request.uri()),
         Surface::Metrics => Response::new(whole(Bytes::from(crate::metrics::render()))),
-        Surface::Peer => Response::new(whole(peers::snapshot(&gateway))),
+        Surface::Peer => answer_peer(&gateway, request.into_body()).await,
+    }
+}
+
+async fn answer_peer(gateway: &Gateway, question: Incoming) -> Response<AnswerBody> {
+    match Limited::new(question, QUESTION_BYTES).collect().await {
+        Ok(question) => Response::new(whole(catch_up::answer(gateway, &question.to_bytes()))),
+        Err(err) => {
+            log::info!(error:% = err; "another instance's question broke off");
+            with_status(StatusCode::BAD_REQUEST)
+        }
     }
 }
 
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -6,6 +6,8 @@
 
 mod attempt;
 mod capacity;
+mod catch_up;
+mod codec;
 mod cursor;
 mod duties;
 mod follow;
@@ -63,6 +65,8 @@
     pub directory: Option<SocketAddr>,
     /// For metrics.
     pub metrics: Option<SocketAddr>,
+    /// For other instances.
+    pub peer: SocketAddr,
 }
 
 /// Bounds that the gateway keeps to.
@@ -115,6 +119,8 @@
     links: Mutex<LinkPool>,
     /// Told when work at upstreams has changed.
     work_changed: Notify,
+    /// Told when another instance knows something else.
+    peer_differs: Notify,
     tracker: TaskTracker,
     closing: CancellationToken,
     /// Cancelled when the instance ends without notice.
@@ -153,6 +159,7 @@
             state: Mutex::new(GatewayState::default()),
             links: Mutex::new(LinkPool::default()),
             work_changed: Notify::new(),
+            peer_differs: Notify::new(),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
             killed: CancellationToken::new(),
@@ -273,6 +280,7 @@
             .await
             .wrap_err_with(|| format!("bind {peer}"))?;
         open(&mut addresses.front, Surface::Callers).await?;
+        addresses.peer = peer;
         parts.card.front = addresses.front;
         Ok(Self { streams, datagrams })
     }
--- a/marigoldlock/src/gateway/peers.rs
+++ b/marigoldlock/src/gateway/peers.rs
@@ -1,25 +1,23 @@
-//! Exchange between instances: heartbeats, and what an instance that can't reach the store has missed.
+//! Heartbeats between instances.
+//!
+//! Who gets them is decided in `marigoldlock_core::gateway::exchange`.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use marigoldlock_core::gateway::border::KeyedRecord;
-use marigoldlock_core::gateway::members::{Heartbeat, MemberStage, ToldWork};
-use marigoldlock_core::gateway::state::WorkInFlight;
+use marigoldlock_core::gateway::exchange::{FleetView, interval};
+use marigoldlock_core::gateway::members::{
+    Heartbeat, MemberReport, ReportPath, StoreContact, ToldWork, age_ms,
+};
+use marigoldlock_core::gateway::state::{UpstreamKey, WorkInFlight};
+use marigoldlock_core::gateway::windows::WindowCounts;
 use marigoldlock_core::prelude::*;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use super::Gateway;
-use super::follow::{apply_settings, apply_upstream};
-use super::links::connect;
-
-/// Time between heartbeats: load told to others is at most this old, and a dead instance is missed after a few.
-const HEARTBEAT: Duration = Duration::from_millis(100);
+use super::catch_up::catch_up;
+use super::state::GatewayState;
+use super::{Gateway, codec};
 
 /// Largest datagram, in bytes.
 const DATAGRAM_MOST: usize = 60 << 10;
@@ -30,25 +28,8 @@
 /// Usage windows that a heartbeat tells: the running one and the two before it.
 const WINDOWS_TOLD: u64 = 2;
 
-/// Time for which an instance waits for its own long poll before it asks another instance.
-const CATCH_UP_AFTER: Duration = Duration::from_millis(150);
-
-/// Time between two questions for what was missed.
-const CATCH_UP_EVERY: Duration = Duration::from_millis(250);
-
-/// Longest time for such a question.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Largest answer to such a question, in bytes.
-const CATCH_UP_BYTES: usize = 16 << 20;
-
-/// What an instance tells another that has missed changes.
-#[derive(Debug, Deserialize, Serialize)]
-struct Snapshot {
-    settings: Vec<u8>,
-    upstreams: Vec<(String, u64, Option<Vec<u8>>)>,
-    upstreams_offset: u64,
-}
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Sends and receives heartbeats, for ever.
 pub async fn exchange(gateway: Arc<Gateway>, socket: UdpSocket) {
@@ -60,71 +41,140 @@
 }
 
 async fn send_beats(gateway: &Gateway, socket: &UdpSocket) {
-    loop {
-        let beat = heartbeat(gateway);
-        match bincode::serde::encode_to_vec(&beat, bincode::config::standard()) {
-            Ok(bytes) if bytes.len() <= DATAGRAM_MOST => {
-                for address in targets(gateway) {
-                    if let Err(err) = socket.send_to(&bytes, address).await {
-                        log::debug!(peer:% = address, error:% = err; "heartbeat not sent");
-                    }
-                }
-            }
-            Ok(bytes) => log::error!(bytes = bytes.len(); "a heartbeat is too large; not sent"),
-            Err(err) => log::error!(error:% = err; "a heartbeat can't be written"),
-        }
+    for round in 0.. {
+        send_round(gateway, socket, round).await;
         let now = gateway.now();
         gateway.links().expire(now);
-        gateway.state().members.expire(now);
+        let instances = {
+            let mut state = gateway.state();
+            state.members.expire(now);
+            state.instances()
+        };
         merge_work(gateway);
         let spread = rand::rng().random_range(0.85..1.15);
-        tokio::time::sleep(HEARTBEAT.mul_f64(spread)).await;
+        tokio::time::sleep(interval(instances).mul_f64(spread)).await;
     }
 }
 
-fn targets(gateway: &Gateway) -> FastSet<SocketAddr> {
-    let own = gateway.parts.card.peer;
-    let state = gateway.state();
-    let known = state.members.all().map(|member| member.card.peer);
+/// Sends this round's heartbeats: what a relay passes on differs between near and far instances, and only a
+/// few keep the usage counts.
+async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64) {
+    let now = gateway.now();
+    let unix_ms = gateway.parts.clock.unix_ms();
+    let card = &gateway.parts.card;
+    let (targets, keepers, own, usage, for_near, for_far) = {
+        let mut state = gateway.state();
+        state.reports_sent += 1;
+        let own = report(gateway, &state, now);
+        let usage = usage_told(gateway, &state, unix_ms, now);
+        let view = FleetView {
+            own: card,
+            members: &state.members,
+            now,
+        };
+        let targets = view.targets(round);
+        let (for_near, for_far) = if targets.is_relay {
+            (view.forwarded(false), view.forwarded(true))
+        } else {
+            Default::default()
+        };
+        (targets, view.usage_keepers(), own, usage, for_near, for_far)
+    };
     let seeds = gateway.parts.seeds.iter().copied();
-    known.chain(seeds).filter(|address| *address != own).collect()
+    let far = targets.far.iter().copied().chain(seeds);
+    let far: FastSet<_> = far
+        .filter(|address| *address != card.peer && !targets.near.contains(address))
+        .collect();
+    let near: FastSet<_> = targets.near.into_iter().collect();
+    let answers: FastSet<_> = targets
+        .answers
+        .into_iter()
+        .filter(|address| !far.contains(address))
+        .collect();
+    let groups = [
+        (near, for_near, false),
+        (far, for_far, false),
+        (answers, Vec::new(), true),
+    ];
+    for (addresses, forwarded, is_answer) in groups {
+        let mut beat = Heartbeat {
+            unix_ms,
+            is_answer,
+            own: own.clone(),
+            forwarded,
+            usage: Vec::new(),
+        };
+        let (keeping, others): (Vec<_>, Vec<_>) = addresses
+            .into_iter()
+            .partition(|address| keepers.contains(address));
+        send_beat(socket, &beat, &others).await;
+        beat.usage = usage.clone();
+        send_beat(socket, &beat, &keeping).await;
+    }
 }
 
-fn heartbeat(gateway: &Gateway) -> Heartbeat {
-    let now = gateway.now();
-    let card = &gateway.parts.card;
-    let unix_ms = gateway.parts.clock.unix_ms();
-    let window = gateway.window(unix_ms);
-    let state = gateway.state();
-    let source = (card.id.clone(), card.incarnation);
-    let true_window = gateway.window(state.clock.unix_ms(unix_ms, now));
+async fn send_beat(socket: &UdpSocket, beat: &Heartbeat, addresses: &[std::net::SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
+    let bytes = match codec::encode(beat) {
+        Ok(bytes) if bytes.len() <= DATAGRAM_MOST => bytes,
+        Ok(bytes) => return log::error!(bytes = bytes.len(); "a heartbeat is too large; not sent"),
+        Err(err) => return log::error!(error:% = err; "a heartbeat can't be written"),
+    };
+    for address in addresses {
+        if let Err(err) = socket.send_to(&bytes, address).await {
+            log::debug!(peer:% = address, error:% = err; "heartbeat not sent");
+        }
+    }
+}
+
+/// What this instance tells of itself.
+fn report(gateway: &Gateway, state: &GatewayState, now: MonoTime) -> MemberReport {
     let work = state
         .upstreams
         .iter()
         .filter(|(_, upstream)| upstream.own != WorkInFlight::default());
-    Heartbeat {
-        card: card.clone(),
+    let unreachable = state
+        .upstreams
+        .iter()
+        .filter(|(_, upstream)| upstream.is_unreachable(now));
+    MemberReport {
+        card: gateway.parts.card.clone(),
+        sequence: state.reports_sent,
         stage: state.stage,
-        unix_ms,
-        settings_version: state.settings.as_ref().map_or(0, |settings| settings.version),
-        upstreams_offset: state.upstreams_offset,
+        knowledge: state.knowledge(),
+        store: StoreContact {
+            answer_age_ms: age_ms(state.store_answer_at.filter(|_| state.store_reached), now),
+            back_age_ms: age_ms(state.store_back, now),
+        },
         duty_fence: state.duty_fence,
         changing: state.changing.iter().cloned().collect(),
         work: work
             .take(WORK_TOLD)
             .map(|(id, upstream)| ToldWork {
-                upstream: id.clone(),
+                upstream: UpstreamKey::from(id),
                 requests: upstream.own.requests,
                 reading_tokens: upstream.own.reading_tokens,
                 waiting_tokens: upstream.own.waiting_tokens,
             })
             .collect(),
-        usage: state
-            .usage
-            .told_by(&source, window.min(true_window).saturating_sub(WINDOWS_TOLD)),
+        unreachable: unreachable
+            .take(WORK_TOLD)
+            .map(|(id, _)| UpstreamKey::from(id))
+            .collect(),
     }
 }
 
+fn usage_told(gateway: &Gateway, state: &GatewayState, unix_ms: u64, now: MonoTime) -> Vec<WindowCounts> {
+    let card = &gateway.parts.card;
+    let source = (card.id.clone(), card.incarnation);
+    let window = gateway.window(unix_ms);
+    let true_window = gateway.window(state.clock.unix_ms(unix_ms, now));
+    let oldest = window.min(true_window).saturating_sub(WINDOWS_TOLD);
+    state.usage.told_by(&source, oldest)
+}
+
 async fn receive_beats(gateway: &Gateway, socket: &UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_MOST];
     loop {
@@ -132,12 +182,12 @@
             Ok(received) => received,
             Err(err) => {
                 log::debug!(error:% = err; "no heartbeat received");
-                tokio::time::sleep(HEARTBEAT).await;
+                tokio::time::sleep(RECEIVE_PAUSE).await;
                 continue;
             }
         };
-        match bincode::serde::decode_from_slice(&buffer[..length], bincode::config::standard()) {
-            Ok((beat, _)) => hear(gateway, beat),
+        match codec::decode(&buffer[..length]) {
+            Ok(beat) => hear(gateway, beat),
             Err(err) => log::warn!(peer:% = from, error:% = err; "a heartbeat can't be read; ignored"),
         }
     }
@@ -145,141 +195,63 @@
 
 fn hear(gateway: &Gateway, beat: Heartbeat) {
     let now = gateway.now();
-    if beat.card.id == gateway.parts.card.id {
+    let own = &gateway.parts.card.id;
+    let sender = &beat.own.card;
+    if sender.id == *own {
         return;
     }
     let mut state = gateway.state();
-    state.clock.record(&beat.card.id, beat.unix_ms, now);
-    let source = (beat.card.id.clone(), beat.card.incarnation);
+    state.clock.record(&sender.id, beat.unix_ms, now);
+    let source = (sender.id.clone(), sender.incarnation);
     for counts in &beat.usage {
         state.usage.merge(&source, counts);
     }
-    if state.members.hear(&beat, now) {
-        log::info!(peer:% = beat.card.id, stage:? = beat.stage, incarnation:% = beat.card.incarnation; "instance heard");
-    }
-}
-
-/// Sums up the work that live instances told.
-fn merge_work(gateway: &Gateway) {
-    let now = gateway.now();
-    let mut state = gateway.state();
-    let mut sums: FastMap<UpstreamId, WorkInFlight> = FastMap::default();
-    for told in state.members.live(now).flat_map(|member| &member.work) {
-        let sum = sums.entry(told.upstream.clone()).or_default();
-        sum.requests += told.requests;
-        sum.reading_tokens += told.reading_tokens;
-        sum.waiting_tokens += told.waiting_tokens;
-    }
-    for (id, upstream) in &mut state.upstreams {
-        upstream.peers = sums.remove(id).unwrap_or_default();
+    let own_mark = state.knowledge();
+    let mut is_behind = beat.own.knowledge != own_mark;
+    let path = if beat.is_answer {
+        ReportPath::Answer
+    } else {
+        ReportPath::Direct
+    };
+    hear_report(&mut state, beat.own, path, now);
+    for report in beat.forwarded {
+        if report.card.id != *own {
+            is_behind |= report.knowledge != own_mark;
+            hear_report(&mut state, report, ReportPath::Forwarded, now);
+        }
     }
     drop(state);
-    gateway.work_changed.notify_waiters();
-}
-
-/// Asks other instances for what this one has missed.
-async fn catch_up(gateway: &Gateway) {
-    let mut behind_since: Option<MonoTime> = None;
-    loop {
-        tokio::time::sleep(CATCH_UP_EVERY).await;
-        let now = gateway.now();
-        let Some(address) = ahead(gateway, now) else {
-            behind_since = None;
-            continue;
-        };
-        let since = *behind_since.get_or_insert(now);
-        if now.since(since) < CATCH_UP_AFTER {
-            continue;
-        }
-        match tokio::time::timeout(CATCH_UP_TIMEOUT, fetch(address)).await {
-            Ok(Ok(snapshot)) => {
-                log::info!(peer:% = address, upstreams_offset = snapshot.upstreams_offset; "caught up from another instance");
-                take(gateway, snapshot);
-            }
-            Ok(Err(err)) => {
-                log::info!(peer:% = address, error:% = err; "another instance could not be asked")
-            }
-            Err(_) => log::info!(peer:% = address; "another instance did not answer in time"),
-        }
+    if is_behind {
+        gateway.peer_differs.notify_one();
     }
 }
 
-/// An instance that knows newer settings or upstreams.
-fn ahead(gateway: &Gateway, now: MonoTime) -> Option<SocketAddr> {
-    let state = gateway.state();
-    let version = state.settings.as_ref().map_or(0, |settings| settings.version);
-    let offset = state.upstreams_offset;
-    let ahead: Vec<SocketAddr> = state
-        .members
-        .live(now)
-        .filter(|member| member.stage != MemberStage::Starting)
-        .filter(|member| member.settings_version > version || member.upstreams_offset > offset)
-        .map(|member| member.card.peer)
-        .collect();
-    if ahead.is_empty() {
-        return None;
+fn hear_report(state: &mut GatewayState, report: MemberReport, path: ReportPath, now: MonoTime) {
+    let (id, stage, incarnation) = (report.card.id.clone(), report.stage, report.card.incarnation);
+    if state.members.hear(report, path, now) {
+        log::info!(peer:% = id, stage:? = stage, incarnation:% = incarnation, path:? = path; "instance heard");
     }
-    Some(ahead[rand::rng().random_range(0..ahead.len())])
 }
 
-async fn fetch(address: SocketAddr) -> std::io::Result<Snapshot> {
-    let mut link = connect(address).await?;
-    let request = http::Request::builder()
-        .uri("/")
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(std::io::Error::other)?;
-    let response = link.send_request(request).await.map_err(std::io::Error::other)?;
-    let body = Limited::new(response.into_body(), CATCH_UP_BYTES).collect().await;
-    let bytes = body.map_err(std::io::Error::other)?.to_bytes();
-    let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
-    decoded
-        .map(|(snapshot, _)| snapshot)
-        .map_err(std::io::Error::other)
-}
-
-fn take(gateway: &Gateway, snapshot: Snapshot) {
-    if !snapshot.settings.is_empty() {
-        apply_settings(gateway, &Bytes::from(snapshot.settings), "instance");
+/// Sums up the work that live instances told, and what they find unreachable.
+fn merge_work(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let mut sums: FastMap<UpstreamKey, (WorkInFlight, u32)> = FastMap::default();
+    for member in state.members.live(now) {
+        for told in &member.report.work {
+            let (sum, _) = sums.entry(told.upstream).or_default();
+            sum.requests += told.requests;
+            sum.reading_tokens += told.reading_tokens;
+            sum.waiting_tokens += told.waiting_tokens;
+        }
+        for key in &member.report.unreachable {
+            sums.entry(*key).or_default().1 += 1;
+        }
     }
-    for (key, offset, value) in snapshot.upstreams {
-        let record = KeyedRecord {
-            offset,
-            key,
-            value: value.map(Bytes::from),
-        };
-        apply_upstream(gateway, &record);
+    for (id, upstream) in &mut state.upstreams {
+        (upstream.peers, upstream.witnesses) = sums.remove(&UpstreamKey::from(id)).unwrap_or_default();
     }
-    let mut state = gateway.state();
-    state.upstreams_offset = state.upstreams_offset.max(snapshot.upstreams_offset);
-    drop(state);
-    super::follow::become_ready(gateway);
-}
-
-/// What this instance knows, for one that has missed changes.
-pub fn snapshot(gateway: &Gateway) -> Bytes {
-    let state = gateway.state();
-    let snapshot = Snapshot {
-        settings: state.settings_raw.to_vec(),
-        upstreams: state
-            .upstreams_raw
-            .iter()
-            .map(|(key, raw)| {
-                (
-                    key.clone(),
-                    raw.offset,
-                    raw.value.as_ref().map(|value| value.to_vec()),
-                )
-            })
-            .collect(),
-        upstreams_offset: state.upstreams_offset,
-    };
     drop(state);
-    bincode::serde::encode_to_vec(&snapshot, bincode::config::standard()).map_or_else(
-        |err| {
-            log::error!(error:% = err; "the snapshot can't be written");
-            Bytes::new()
-        },
-        Bytes::from,
-    )
+    gateway.work_changed.notify_waiters();
 }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a gateway know.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -8,7 +9,8 @@
 use marigoldlock_core::gateway::choice::Candidate;
 use marigoldlock_core::gateway::clock::TrueClock;
 use marigoldlock_core::gateway::duty::DutyLedger;
-use marigoldlock_core::gateway::members::{MemberStage, MemberTable};
+use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::members::{KnowledgeMark, MemberCard, MemberStage, MemberTable};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::queue::ReaderQueue;
 use marigoldlock_core::gateway::state::UpstreamState;
@@ -37,8 +39,12 @@
     pub catalog: UpstreamCatalog,
     /// The upstreams' records as the store holds them.
     pub upstreams_raw: FastMap<String, RawRecord>,
+    /// Offset up to which the stream of settings is read.
+    pub settings_offset: u64,
     /// Offset up to which the upstreams are known.
     pub upstreams_offset: u64,
+    /// Digest of the records of the listed upstreams.
+    upstreams_digest: u64,
     /// Load and health of upstreams.
     pub upstreams: FastMap<UpstreamId, UpstreamState>,
     /// Other instances.
@@ -59,6 +65,10 @@
     pub queue: ReaderQueue,
     /// Reading rate of each service's engines.
     pub rates: FastMap<ServiceId, ReadRate>,
+    /// Heartbeats sent since the start.
+    pub reports_sent: u64,
+    /// Last answer of the store.
+    pub store_answer_at: Option<MonoTime>,
     /// Last return of the store; `None` before the first loss.
     pub store_back: Option<MonoTime>,
     /// False while calls to the store fail.
@@ -75,7 +85,11 @@
         now: MonoTime,
     ) -> Vec<Candidate<'a>> {
         let is_changing = |id: &UpstreamId| {
-            self.changing.contains(id) || self.members.live(now).any(|member| member.changing.contains(id))
+            self.changing.contains(id)
+                || self
+                    .members
+                    .live(now)
+                    .any(|member| member.report.changing.contains(id))
         };
         let listed: Vec<Candidate<'a>> = self
             .catalog
@@ -99,8 +113,53 @@
         self.upstreams.entry(id.clone()).or_default()
     }
 
+    /// How far this instance knows settings and upstreams.
+    pub fn knowledge(&self) -> KnowledgeMark {
+        KnowledgeMark {
+            settings_version: self.settings.as_ref().map_or(0, |settings| settings.version),
+            settings_offset: self.settings_offset,
+            upstreams_offset: self.upstreams_offset,
+            upstreams_digest: self.upstreams_digest,
+        }
+    }
+
+    /// Takes a record of an upstream if it is newer than what is known; returns false if not.
+    pub fn put_raw(&mut self, key: &str, raw: RawRecord) -> bool {
+        let known = self.upstreams_raw.get(key);
+        if known.is_some_and(|known| known.offset >= raw.offset) {
+            return false;
+        }
+        let before = known.map_or(0, |known| digest(key, known));
+        self.upstreams_digest ^= before ^ digest(key, &raw);
+        self.upstreams_raw.insert(key.to_owned(), raw);
+        true
+    }
+
+    /// True if this instance reads the store itself.
+    pub fn is_follower(&self, own: &MemberCard, now: MonoTime) -> bool {
+        let members = &self.members;
+        FleetView { own, members, now }.is_follower()
+    }
+
+    /// Last return of the store, as this instance or another saw it.
+    pub fn store_back(&self, own: &MemberCard, now: MonoTime) -> Option<MonoTime> {
+        let members = &self.members;
+        self.store_back
+            .max(FleetView { own, members, now }.store_back_at())
+    }
+
     /// Instances that share the retry budget.
     pub fn instances(&self) -> usize {
         self.members.all().count() + 1
     }
 }
+
+/// Digest of one record; removed upstreams count as never listed.
+fn digest(key: &str, raw: &RawRecord) -> u64 {
+    if raw.value.is_none() {
+        return 0;
+    }
+    let mut hasher = rustc_hash::FxHasher::default();
+    (key, raw.offset).hash(&mut hasher);
+    hasher.finish()
+}
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use super::codec;
 use super::cursor::{FollowCursor, NextCall, poll_wait};
 
 const WAIT: Duration = Duration::from_secs(10);
@@ -69,3 +70,22 @@
         }
     }
 }
+
+#[test]
+fn a_message_of_another_version_or_with_a_false_length_is_refused() {
+    let value: Vec<Vec<u8>> = vec![vec![1, 2, 3]; 4];
+    let bytes = codec::encode(&value).unwrap();
+    assert_eq!(codec::decode::<Vec<Vec<u8>>>(&bytes).unwrap(), value);
+    assert!(codec::decode::<Vec<Vec<u8>>>(&[]).is_err());
+    let mut other = bytes.to_vec();
+    other[0] += 1;
+    assert!(codec::decode::<Vec<Vec<u8>>>(&other).is_err());
+    let mut longer = bytes.to_vec();
+    longer.push(0);
+    assert!(codec::decode::<Vec<Vec<u8>>>(&longer).is_err());
+    // The length of a list as a wall clock would be read: 1.7 TB must not be asked for.
+    let mut huge = vec![bytes[0]];
+    bincode::encode_into_std_write(1_767_252_734_991_u64, &mut huge, bincode::config::standard()).unwrap();
+    assert!(codec::decode::<Vec<u8>>(&huge).is_err());
+    assert!(codec::decode::<Vec<(String, u64)>>(&huge).is_err());
+}
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -82,12 +82,14 @@
             front: settings.front,
             peer: SocketAddr::new(settings.ip, settings.peer_port),
             data_centre: DataCentre::from(settings.data_centre.as_str()),
+            weight: (settings.cpu_share * 100.0).round() as u32,
         },
         addresses: GatewayAddresses {
             front: settings.front,
             readiness: settings.readiness,
             directory: settings.directory,
             metrics,
+            peer: SocketAddr::new(settings.ip, settings.peer_port),
         },
         seeds: settings
             .seeds
--- a/marigoldlock_core/src/gateway/catalog.rs
+++ b/marigoldlock_core/src/gateway/catalog.rs
@@ -132,19 +132,6 @@
         CatalogChange::Gone
     }
 
-    /// Takes a whole listing: what it doesn't name is removed.
-    pub fn retain(&mut self, ids: &FastSet<String>, now: MonoTime, store_back: Option<MonoTime>) {
-        let missing: Vec<UpstreamId> = self
-            .listed
-            .keys()
-            .filter(|id| !ids.contains(id.as_str()))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.remove(id.as_str(), now, store_back);
-        }
-    }
-
     /// Drops entries whose grace is over and returns them.
     pub fn expire(&mut self, now: MonoTime) -> Vec<UpstreamId> {
         let due: Vec<UpstreamId> = self
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -8,10 +8,15 @@
 
 use crate::time::MonoTime;
 
+use super::exchange::interval;
+use super::state::UpstreamKey;
 use super::windows::WindowCounts;
 
-/// Silence after which an instance is not told to callers: several heartbeats, so that one lost packet harms nothing.
-pub const SILENCE: Duration = Duration::from_millis(1_000);
+/// Shortest silence after which an instance counts as dead: callers leave a silent address after a second.
+const SILENCE_LEAST: Duration = Duration::from_millis(1_000);
+
+/// Heartbeats that may be missed: a report takes up to three on its way through two relays.
+const SILENCE_BEATS: u32 = 6;
 
 /// Silence after which an instance is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
@@ -47,13 +52,16 @@
     pub peer: SocketAddr,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// Share of a core that it may use, in hundredths; larger instances relay and follow the store first.
+    #[serde(default)]
+    pub weight: u32,
 }
 
 /// Work at one upstream, as told to other instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ToldWork {
     /// The upstream.
-    pub upstream: UpstreamId,
+    pub upstream: UpstreamKey,
     /// Requests there.
     pub requests: u32,
     /// Prompt tokens still to be read there.
@@ -62,58 +70,125 @@
     pub waiting_tokens: u64,
 }
 
-/// Heartbeat between instances.
+/// How far an instance knows settings and upstreams.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnowledgeMark {
+    /// Version of the settings in force; 0 for none.
+    pub settings_version: u64,
+    /// Offset up to which the stream of settings is read.
+    pub settings_offset: u64,
+    /// Offset up to which the stream of upstreams is read.
+    pub upstreams_offset: u64,
+    /// Digest of the listed upstreams' records; equal for equal listings.
+    pub upstreams_digest: u64,
+}
+
+/// When an instance last heard from the store, as ages, since clocks of instances can't be compared.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreContact {
+    /// Age of the last answer, in milliseconds; `None` while calls fail.
+    pub answer_age_ms: Option<u32>,
+    /// Time since the store came back after a loss, in milliseconds.
+    pub back_age_ms: Option<u32>,
+}
+
+/// What an instance tells of itself; relays pass it on to other data centres.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Heartbeat {
-    /// The sender.
+pub struct MemberReport {
+    /// The instance.
     pub card: MemberCard,
+    /// Number of the report since the instance's start.
+    pub sequence: u64,
     /// Where it is in its life.
     pub stage: MemberStage,
-    /// Its wall clock, in Unix milliseconds.
-    pub unix_ms: u64,
-    /// Version of the settings that it has in force; 0 for none.
-    pub settings_version: u64,
-    /// Offset up to which it knows the upstreams.
-    pub upstreams_offset: u64,
+    /// How far it knows settings and upstreams.
+    pub knowledge: KnowledgeMark,
+    /// Its contact with the store.
+    pub store: StoreContact,
     /// Fencing number under which it holds the duties.
     pub duty_fence: Option<u64>,
     /// Upstreams that it has ordered to change their role.
     pub changing: Vec<UpstreamId>,
     /// Its work at upstreams.
     pub work: Vec<ToldWork>,
-    /// Its usage counts of the latest windows.
+    /// Upstreams that it has set aside since nobody answers there.
+    pub unreachable: Vec<UpstreamKey>,
+}
+
+/// Heartbeat between instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The sender's wall clock, in Unix milliseconds.
+    pub unix_ms: u64,
+    /// True if it is only sent since the other sends; it is not answered then.
+    pub is_answer: bool,
+    /// The sender's report.
+    pub own: MemberReport,
+    /// Reports of other instances that the sender passes on.
+    pub forwarded: Vec<MemberReport>,
+    /// The sender's usage counts of the latest windows.
     pub usage: Vec<WindowCounts>,
 }
 
+/// How a report came here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportPath {
+    /// From the instance itself.
+    Direct,
+    /// From the instance itself, since it was sent to.
+    Answer,
+    /// Through a relay.
+    Forwarded,
+}
+
 /// What is known of another instance.
 #[derive(Clone, Debug)]
 pub struct MemberState {
-    /// Who it is.
-    pub card: MemberCard,
-    /// Where it is in its life.
-    pub stage: MemberStage,
-    /// Settings that it has in force.
-    pub settings_version: u64,
-    /// How far it knows the upstreams.
-    pub upstreams_offset: u64,
-    /// Fencing number under which it holds the duties.
-    pub duty_fence: Option<u64>,
-    /// Upstreams that it has ordered to change their role.
-    pub changing: Vec<UpstreamId>,
-    /// Its work at upstreams.
-    pub work: Vec<ToldWork>,
-    /// Last heartbeat; `None` if it is only known from the store.
-    pub heard_at: Option<MonoTime>,
+    /// Its latest report; its ages count from [`Self::reported_at`].
+    pub report: MemberReport,
+    /// When the latest report came; `None` if it is only known from the store.
+    pub reported_at: Option<MonoTime>,
+    /// When it last sent by itself and not as an answer.
+    pub direct_at: Option<MonoTime>,
     known_at: MonoTime,
 }
 
 impl MemberState {
-    /// True if it was heard of lately.
-    pub fn is_live(&self, now: MonoTime) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < SILENCE)
+    /// The instance.
+    pub fn card(&self) -> &MemberCard {
+        &self.report.card
+    }
+
+    /// When the store last answered it; `None` while its calls fail.
+    pub fn store_answer_at(&self) -> Option<MonoTime> {
+        earlier(self.reported_at?, self.report.store.answer_age_ms)
+    }
+
+    /// When the store last came back after a loss, as the instance saw it.
+    pub fn store_back_at(&self) -> Option<MonoTime> {
+        earlier(self.reported_at?, self.report.store.back_age_ms)
+    }
+
+    /// Its report as it is passed on at `now`: the ages have grown since it came.
+    pub fn forwarded(&self, now: MonoTime) -> MemberReport {
+        let mut report = self.report.clone();
+        report.store = StoreContact {
+            answer_age_ms: age_ms(self.store_answer_at(), now),
+            back_age_ms: age_ms(self.store_back_at(), now),
+        };
+        report
     }
 }
 
+fn earlier(at: MonoTime, age_ms: Option<u32>) -> Option<MonoTime> {
+    age_ms.map(|age| at - Duration::from_millis(u64::from(age)))
+}
+
+/// Age of a point in time as reports tell it.
+pub fn age_ms(at: Option<MonoTime>, now: MonoTime) -> Option<u32> {
+    at.map(|at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX))
+}
+
 /// All other instances.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
@@ -123,44 +198,61 @@
 impl MemberTable {
     /// Takes a card from the store or a seed.
     pub fn learn(&mut self, card: MemberCard, now: MonoTime) {
-        if self.members.get(&card.id).is_some_and(|known| known.is_live(now)) {
-            return;
-        }
-        let state = MemberState {
-            stage: MemberStage::Starting,
-            settings_version: 0,
-            upstreams_offset: 0,
-            duty_fence: None,
-            changing: Vec::new(),
-            work: Vec::new(),
-            heard_at: None,
+        let id = card.id.clone();
+        self.members.entry(id).or_insert_with(|| MemberState {
+            report: MemberReport {
+                card,
+                sequence: 0,
+                stage: MemberStage::Starting,
+                knowledge: KnowledgeMark::default(),
+                store: StoreContact::default(),
+                duty_fence: None,
+                changing: Vec::new(),
+                work: Vec::new(),
+                unreachable: Vec::new(),
+            },
+            reported_at: None,
+            direct_at: None,
             known_at: now,
-            card,
-        };
-        self.members.entry(state.card.id.clone()).or_insert(state);
+        });
     }
 
-    /// Takes a heartbeat; returns true if the sender was not live before.
-    pub fn hear(&mut self, beat: &Heartbeat, now: MonoTime) -> bool {
-        let was_live = self
-            .members
-            .get(&beat.card.id)
-            .is_some_and(|known| known.is_live(now));
+    /// Takes a report; returns true if the instance was not live before.
+    ///
+    /// A relay may pass on a report that is older than what is known, or one of an earlier start.
+    pub fn hear(&mut self, report: MemberReport, path: ReportPath, now: MonoTime) -> bool {
+        let silence = self.silence();
+        let known = self.members.get(&report.card.id);
+        let was_live = known.is_some_and(|known| is_live(known, silence, now));
+        let is_forwarded = path == ReportPath::Forwarded;
+        if let Some(known) = known {
+            let is_same_start = known.report.card.incarnation == report.card.incarnation;
+            let is_older = is_same_start && known.report.sequence >= report.sequence;
+            if is_forwarded && (is_older || was_live && !is_same_start) {
+                return false;
+            }
+        }
+        let direct_before = known.and_then(|known| known.direct_at);
         let state = MemberState {
-            card: beat.card.clone(),
-            stage: beat.stage,
-            settings_version: beat.settings_version,
-            upstreams_offset: beat.upstreams_offset,
-            duty_fence: beat.duty_fence,
-            changing: beat.changing.clone(),
-            work: beat.work.clone(),
-            heard_at: Some(now),
+            reported_at: Some(now),
+            direct_at: if path == ReportPath::Direct {
+                Some(now)
+            } else {
+                direct_before
+            },
             known_at: now,
+            report,
         };
-        self.members.insert(beat.card.id.clone(), state);
+        self.members.insert(state.report.card.id.clone(), state);
         !was_live
     }
 
+    /// Silence after which an instance counts as dead: several heartbeats on the way through two relays, so
+    /// that a lost packet harms nothing.
+    pub fn silence(&self) -> Duration {
+        SILENCE_LEAST.max(interval(self.members.len() + 1) * SILENCE_BEATS)
+    }
+
     /// Forgets instances that have been silent for long.
     pub fn expire(&mut self, now: MonoTime) {
         self.members
@@ -174,7 +266,10 @@
 
     /// Instances that were heard of lately.
     pub fn live(&self, now: MonoTime) -> impl Iterator<Item = &MemberState> {
-        self.members.values().filter(move |member| member.is_live(now))
+        let silence = self.silence();
+        self.members
+            .values()
+            .filter(move |member| is_live(member, silence, now))
     }
 
     /// Addresses for a caller in `data_centre`; `own` is this instance's card if it serves.
@@ -186,8 +281,8 @@
     ) -> Vec<SocketAddr> {
         let others = self
             .live(now)
-            .filter(|member| member.stage == MemberStage::Ready)
-            .map(|member| &member.card);
+            .filter(|member| member.report.stage == MemberStage::Ready)
+            .map(MemberState::card);
         let mut cards: Vec<&MemberCard> = others.chain(own).collect();
         cards.sort_by(|a, b| a.id.cmp(&b.id));
         let near: Vec<&MemberCard> = cards
@@ -203,3 +298,7 @@
             .collect()
     }
 }
+
+fn is_live(member: &MemberState, silence: Duration, now: MonoTime) -> bool {
+    member.reported_at.is_some_and(|at| now.since(at) < silence)
+}
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod duty;
 pub mod events;
+pub mod exchange;
 pub mod members;
 pub mod outcome;
 pub mod prefix;
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -1,7 +1,12 @@
 //! What an instance knows of one upstream's load and health.
 
+use std::hash::Hasher;
 use std::time::Duration;
 
+use marigoldlock_wire::prelude::*;
+use rustc_hash::FxHasher;
+use serde::{Deserialize, Serialize};
+
 use crate::time::MonoTime;
 
 use super::border::LoadReport;
@@ -22,6 +27,26 @@
 /// Time for which an upstream that was full is avoided: a few of its shortest requests.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Other instances that must find an upstream unreachable before this one believes it: one alone may have lost its
+/// own links.
+const UNREACHABLE_WITNESSES: u32 = 2;
+
+/// Time since an upstream's last answer in which what others find unreachable is still used.
+const ANSWERED_LATELY: Duration = Duration::from_millis(1_000);
+
+/// Short name of an upstream in heartbeats. Two upstreams with the same key only blur estimates of load.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct UpstreamKey(u32);
+
+impl From<&UpstreamId> for UpstreamKey {
+    fn from(id: &UpstreamId) -> Self {
+        let mut hasher = FxHasher::default();
+        hasher.write(id.as_str().as_bytes());
+        let hash = hasher.finish();
+        Self((hash ^ (hash >> 32)) as u32)
+    }
+}
+
 /// Work that is at an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct WorkInFlight {
@@ -40,12 +65,16 @@
     pub own: WorkInFlight,
     /// Work that other instances have there, by their heartbeats.
     pub peers: WorkInFlight,
+    /// Other instances that find nobody at its address.
+    pub witnesses: u32,
     /// Prompt parts that it probably keeps.
     pub prefix: PrefixSet,
     report: Option<(LoadReport, MonoTime)>,
     failures: u32,
     ejected_until: MonoTime,
     full_until: MonoTime,
+    unreachable: bool,
+    answered_at: Option<MonoTime>,
 }
 
 impl UpstreamState {
@@ -63,9 +92,11 @@
     }
 
     /// Notes a whole answer.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: MonoTime) {
         self.failures = 0;
         self.ejected_until = MonoTime::ZERO;
+        self.unreachable = false;
+        self.answered_at = Some(now);
     }
 
     /// Notes a failed attempt; returns true if the upstream is set aside by it.
@@ -82,9 +113,15 @@
     /// Notes that nobody answers at the upstream's address, or another upstream; it is set aside at once.
     pub fn record_unreachable(&mut self, now: MonoTime) -> bool {
         self.failures = self.failures.max(FAILURES_TO_EJECT - 1);
+        self.unreachable = true;
         self.record_failure(now)
     }
 
+    /// True while the upstream is set aside since nobody answers at its address.
+    pub fn is_unreachable(&self, now: MonoTime) -> bool {
+        self.unreachable && self.ejected_until > now
+    }
+
     /// Notes that the upstream had no room.
     pub fn record_full(&mut self, now: MonoTime) {
         self.full_until = now + FULL_PAUSE;
@@ -92,7 +129,9 @@
 
     /// True if the upstream gets work.
     pub fn is_usable(&self, now: MonoTime) -> bool {
-        self.ejected_until <= now && self.full_until <= now
+        let is_missed_by_others = self.witnesses >= UNREACHABLE_WITNESSES
+            && self.answered_at.is_none_or(|at| now.since(at) > ANSWERED_LATELY);
+        self.ejected_until <= now && self.full_until <= now && !is_missed_by_others
     }
 
     /// True if the last attempts failed.
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod duty;
+mod exchange;
 mod load;
 mod members;
 mod requests;
