Give orders and reports side by side, tell usage to keepers everywhere, ready engines before the first request

(2) On the grown deployment usage was off by three quarters: only instances of the keeper's own data centre told it. (3) A lost holder's successor first read the claim then, and waited a whole lease (6.8 s without duties). Ruled out: luck of the upstreams' choice; a smaller timeout for the platform's calls (a late call may still be carried out).

--- a/marigoldlock/src/gateway/capacity.rs
+++ b/marigoldlock/src/gateway/capacity.rs
@@ -1,8 +1,12 @@
 //! Orders upstreams from the platform, under the duties' fencing number.
 
-use marigoldlock_core::gateway::border::{CapacityOrder, DutyHolder, DutyOutcome};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use marigoldlock_core::gateway::border::{CapacityOrder, DutyApi, DutyHolder, DutyOutcome};
 use marigoldlock_core::gateway::capacity::{CapacityPlanner, ServingCounts};
 use marigoldlock_core::prelude::*;
+use tokio::task::JoinSet;
 
 use crate::logging::DECISION_TARGET;
 
@@ -12,30 +16,40 @@
 #[derive(Debug, Default)]
 pub struct CapacityKeeper {
     planners: FastMap<ServiceId, CapacityPlanner>,
+    /// Orders under way, which may take seconds; those for one data centre go one after the other.
+    calls: JoinSet<DutyOutcome>,
+    waiting: VecDeque<CapacityOrder>,
 }
 
 impl CapacityKeeper {
     /// Gives the orders that are due; returns false if the fencing number is too low.
-    pub async fn tick(&mut self, gateway: &Gateway, fence: u64) -> bool {
+    pub fn tick(&mut self, gateway: &Arc<Gateway>, fence: u64) -> bool {
         let Some(duties) = gateway.parts.duties.clone() else {
             return true;
         };
-        let holder = DutyHolder {
-            instance: gateway.parts.card.id.as_str(),
-            fence,
-        };
-        for order in self.plan(gateway) {
-            let outcome = duties.order_capacity(holder, &order).await;
-            log::info!(
-                target: DECISION_TARGET,
-                service:% = order.service, data_centre:% = order.data_centre, count = order.count, cheap = order.is_spot,
-                fence, outcome:? = outcome;
-                "capacity ordered"
-            );
-            if outcome == DutyOutcome::Fenced {
-                return false;
+        while let Some(ended) = self.calls.try_join_next() {
+            match ended {
+                Ok(DutyOutcome::Fenced) => return false,
+                Ok(_) => {}
+                Err(err) => log::error!(error:% = err; "an order's task failed"),
             }
         }
+        let orders = self.plan(gateway);
+        self.waiting.extend(orders);
+        if !self.calls.is_empty() || self.waiting.is_empty() {
+            return true;
+        }
+        let orders = std::mem::take(&mut self.waiting);
+        let gateway = Arc::clone(gateway);
+        self.calls.spawn(async move {
+            for order in orders {
+                let outcome = order_one(&gateway, &*duties, fence, &order).await;
+                if outcome == DutyOutcome::Fenced {
+                    return outcome;
+                }
+            }
+            DutyOutcome::Accepted
+        });
         true
     }
 
@@ -73,3 +87,23 @@
         orders
     }
 }
+
+async fn order_one(
+    gateway: &Gateway,
+    duties: &dyn DutyApi,
+    fence: u64,
+    order: &CapacityOrder,
+) -> DutyOutcome {
+    let holder = DutyHolder {
+        instance: gateway.parts.card.id.as_str(),
+        fence,
+    };
+    let outcome = duties.order_capacity(holder, order).await;
+    log::info!(
+        target: DECISION_TARGET,
+        service:% = order.service, data_centre:% = order.data_centre, count = order.count, cheap = order.is_spot,
+        fence, outcome:? = outcome;
+        "capacity ordered"
+    );
+    outcome
+}
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod codec;
 mod cursor;
 mod duties;
+mod duty_log;
 mod follow;
 mod front;
 mod links;
@@ -20,6 +21,7 @@
 mod session;
 mod state;
 mod stream;
+mod usage;
 mod work;
 
 #[cfg(test)]
@@ -177,6 +179,7 @@
             peers::exchange(Arc::clone(&gateway), listeners.datagrams),
         );
         spawn_until(&background, duties::run(Arc::clone(&gateway)));
+        spawn_until(&background, usage::report_usage(Arc::clone(&gateway)));
         let card = &gateway.parts.card;
         log::info!(
             instance:% = card.id, incarnation:% = card.incarnation, front:% = card.front,
--- a/marigoldlock/src/gateway/peers.rs
+++ b/marigoldlock/src/gateway/peers.rs
@@ -62,7 +62,7 @@
     let now = gateway.now();
     let unix_ms = gateway.parts.clock.unix_ms();
     let card = &gateway.parts.card;
-    let (targets, keepers, own, usage, for_near, for_far) = {
+    let (targets, own, usage, for_near, for_far) = {
         let mut state = gateway.state();
         state.reports_sent += 1;
         let own = report(gateway, &state, now);
@@ -78,10 +78,11 @@
         } else {
             Default::default()
         };
-        (targets, view.usage_keepers(), own, usage, for_near, for_far)
+        (targets, own, usage, for_near, for_far)
     };
     let seeds = gateway.parts.seeds.iter().copied();
     let far = targets.far.iter().copied().chain(seeds);
+    let keepers = targets.keepers;
     let far: FastSet<_> = far
         .filter(|address| *address != card.peer && !targets.near.contains(address))
         .collect();
--- a/marigoldlock/src/gateway/roles.rs
+++ b/marigoldlock/src/gateway/roles.rs
@@ -1,10 +1,12 @@
 //! Orders engines to change their role, under the duties' fencing number.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use marigoldlock_core::gateway::border::{DutyHolder, DutyOutcome, RoleOrder};
 use marigoldlock_core::gateway::roles::{EngineLoad, RoleChange, RolePlanner};
 use marigoldlock_core::prelude::*;
+use tokio::task::JoinSet;
 
 use crate::logging::DECISION_TARGET;
 
@@ -18,11 +20,32 @@
 pub struct RoleKeeper {
     planners: FastMap<ServiceId, RolePlanner>,
     announced: Vec<(RoleChange, MonoTime)>,
+    /// Orders under way; an upstream that doesn't answer must not delay the others.
+    orders: JoinSet<(RoleChange, OrderOutcome)>,
+}
+
+/// What became of an order.
+#[derive(Debug)]
+enum OrderOutcome {
+    /// Sent; whether an unanswered order took effect shows in the upstream's entry.
+    Sent,
+    /// Nothing was done.
+    Refused(String),
+    /// The upstream has seen a higher fencing number.
+    Fenced,
 }
 
 impl RoleKeeper {
     /// Takes a sample and gives the orders that are due; returns false if the fencing number is too low.
-    pub async fn tick(&mut self, gateway: &Gateway, fence: u64) -> bool {
+    pub fn tick(&mut self, gateway: &Arc<Gateway>, fence: u64) -> bool {
+        while let Some(ended) = self.orders.try_join_next() {
+            match ended {
+                Ok((_, OrderOutcome::Sent)) => {}
+                Ok((change, OrderOutcome::Refused(reason))) => self.withdraw(&change, &reason),
+                Ok((_, OrderOutcome::Fenced)) => return false,
+                Err(err) => log::error!(error:% = err; "an order's task failed"),
+            }
+        }
         self.plan(gateway);
         let now = gateway.now();
         let announced = std::mem::take(&mut self.announced);
@@ -31,19 +54,15 @@
             .partition(|(_, at)| now.since(*at) >= ANNOUNCE);
         self.announced = later;
         for (change, _) in due {
-            if !self.order(gateway, fence, &change).await {
-                return false;
-            }
+            let gateway = Arc::clone(gateway);
+            self.orders.spawn(async move {
+                let outcome = order(&gateway, fence, &change).await;
+                (change, outcome)
+            });
         }
         true
     }
 
-    /// Drops all plans: another instance decides from now on.
-    pub fn reset(&mut self, gateway: &Gateway) {
-        *self = Self::default();
-        gateway.state().changing.clear();
-    }
-
     fn plan(&mut self, gateway: &Gateway) {
         let now = gateway.now();
         let mut state = gateway.state();
@@ -83,45 +102,43 @@
             .collect();
     }
 
-    async fn order(&mut self, gateway: &Gateway, fence: u64, change: &RoleChange) -> bool {
-        let Some(entry) = gateway.state().catalog.get(change.upstream.as_str()).cloned() else {
-            return true;
-        };
-        let report = match gateway.parts.orders.report(&entry).await {
-            Ok(report) if !report.is_busy => report,
-            Ok(_) => return self.withdraw(change, "it carries out another order"),
-            Err(err) => return self.withdraw(change, &err.to_string()),
-        };
-        let holder = DutyHolder {
-            instance: gateway.parts.card.id.as_str(),
-            fence,
-        };
-        let order = RoleOrder {
-            upstream: &entry.id,
-            address: entry.address,
-            role: change.role,
-            accepted_before: report.accepted,
-        };
-        let outcome = gateway.parts.orders.change_role(holder, &order).await;
-        log::info!(
-            target: DECISION_TARGET,
-            upstream:% = entry.id, role:? = change.role, fence, accepted_before = report.accepted, outcome:? = outcome;
-            "role ordered"
-        );
-        match outcome {
-            // Whether an unanswered order took effect shows in the upstream's entry.
-            DutyOutcome::Accepted | DutyOutcome::NoAnswer(_) => true,
-            DutyOutcome::Refused(reason) => self.withdraw(change, &reason),
-            DutyOutcome::Fenced => false,
-        }
-    }
-
     /// Takes back a change whose order did nothing.
-    fn withdraw(&mut self, change: &RoleChange, reason: &str) -> bool {
+    fn withdraw(&mut self, change: &RoleChange, reason: &str) {
         log::info!(upstream:% = change.upstream, reason; "role change withdrawn");
         for planner in self.planners.values_mut() {
             planner.cancel(&change.upstream);
         }
-        true
+    }
+}
+
+async fn order(gateway: &Gateway, fence: u64, change: &RoleChange) -> OrderOutcome {
+    let Some(entry) = gateway.state().catalog.get(change.upstream.as_str()).cloned() else {
+        return OrderOutcome::Refused("it is no longer listed".into());
+    };
+    let report = match gateway.parts.orders.report(&entry).await {
+        Ok(report) if !report.is_busy => report,
+        Ok(_) => return OrderOutcome::Refused("it carries out another order".into()),
+        Err(err) => return OrderOutcome::Refused(err.to_string()),
+    };
+    let holder = DutyHolder {
+        instance: gateway.parts.card.id.as_str(),
+        fence,
+    };
+    let order = RoleOrder {
+        upstream: &entry.id,
+        address: entry.address,
+        role: change.role,
+        accepted_before: report.accepted,
+    };
+    let outcome = gateway.parts.orders.change_role(holder, &order).await;
+    log::info!(
+        target: DECISION_TARGET,
+        upstream:% = entry.id, role:? = change.role, fence, accepted_before = report.accepted, outcome:? = outcome;
+        "role ordered"
+    );
+    match outcome {
+        DutyOutcome::Accepted | DutyOutcome::NoAnswer(_) => OrderOutcome::Sent,
+        DutyOutcome::Refused(reason) => OrderOutcome::Refused(reason),
+        DutyOutcome::Fenced => OrderOutcome::Fenced,
     }
 }
--- /dev/null
+++ b/marigoldlock/src/gateway/usage.rs
@@ -0,0 +1,168 @@
+//! Reports usage windows while this instance holds the duties.
+//!
+//! The figures of a window are fixed in the store before they are reported, so that whoever reports the window again
+//! reports the same. Reports have a task of their own: a call that hangs must not delay orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigoldlock_core::gateway::border::{DutyHolder, DutyOutcome};
+use marigoldlock_core::gateway::call::CustomerCounts;
+use marigoldlock_core::gateway::duty::DutyRecord;
+use marigoldlock_core::prelude::*;
+
+use super::Gateway;
+use super::duty_log::DutyLog;
+
+/// Time between two looks for windows that are due.
+const TICK: Duration = Duration::from_millis(300);
+
+/// Time after its end for which a window stays open: requests that began in it are told within a few heartbeats.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Time after taking the duties before the first figures are fixed: all instances must have told the new holder what
+/// they counted.
+const HEAR_COUNTS: Duration = Duration::from_millis(1_500);
+
+/// Reported windows that are remembered; older ones are long past their due time.
+const REMEMBERED_WINDOWS: u64 = 64;
+
+impl Gateway {
+    /// Number of the usage window at a time.
+    pub(super) fn window(&self, unix_ms: u64) -> u64 {
+        let length = u64::try_from(self.parts.bounds.usage_window.as_millis()).unwrap_or(u64::MAX);
+        unix_ms / length.max(1)
+    }
+
+    /// True time, in Unix milliseconds.
+    pub(super) fn true_ms(&self) -> u64 {
+        let now = self.now();
+        let own = self.parts.clock.unix_ms();
+        self.state().clock.unix_ms(own, now)
+    }
+
+    /// Counts a request that began to run.
+    pub(super) fn count_usage(&self, customer: &CustomerId) {
+        let window = self.window(self.true_ms());
+        let source = (self.parts.card.id.clone(), self.parts.card.incarnation);
+        self.state().usage.count(&source, window, customer);
+    }
+}
+
+/// Reports windows that are due while this instance holds the duties, for ever.
+pub async fn report_usage(gateway: Arc<Gateway>) {
+    let mut reporter = UsageReporter {
+        log: DutyLog::new(Arc::clone(&gateway)),
+        gateway,
+        reported: FastSet::default(),
+        holding: None,
+    };
+    loop {
+        tokio::time::sleep(TICK).await;
+        reporter.tick().await;
+    }
+}
+
+struct UsageReporter {
+    gateway: Arc<Gateway>,
+    log: DutyLog,
+    reported: FastSet<u64>,
+    /// Fencing number, and since when it is held.
+    holding: Option<(u64, MonoTime)>,
+}
+
+impl UsageReporter {
+    /// Fixes and reports the windows that are due.
+    async fn tick(&mut self) {
+        let now = self.gateway.now();
+        let Some(fence) = self.gateway.state().duty_fence else {
+            self.holding = None;
+            return;
+        };
+        let since = match self.holding {
+            Some((held, since)) if held == fence => since,
+            _ => {
+                self.reported.clear();
+                self.holding = Some((fence, now));
+                now
+            }
+        };
+        if now.since(since) < HEAR_COUNTS {
+            return;
+        }
+        let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
+        let current = self.gateway.window(settled);
+        let length = self.gateway.parts.bounds.usage_window;
+        let due = self.gateway.parts.bounds.usage_due.as_millis() / length.as_millis().max(1);
+        let oldest = current.saturating_sub(u64::try_from(due).unwrap_or(2) + 1);
+        for window in oldest..current {
+            if !self.reported.contains(&window) && !self.report(fence, window).await {
+                return;
+            }
+        }
+        self.reported
+            .retain(|window| window + REMEMBERED_WINDOWS > current);
+    }
+
+    /// Fixes and reports one window; returns false if the rest must wait.
+    async fn report(&mut self, fence: u64, window: u64) -> bool {
+        let (fixed, has_counts) = {
+            let state = self.gateway.state();
+            (
+                state.ledger.usage(window).map(<[_]>::to_vec),
+                !state.usage.total(window).is_empty(),
+            )
+        };
+        let counts = match fixed {
+            Some(counts) => counts,
+            None if !has_counts => {
+                self.reported.insert(window);
+                return true;
+            }
+            None => match self.fix(window).await {
+                Some(counts) => counts,
+                None => return false,
+            },
+        };
+        let counts: CustomerCounts = counts.into_iter().collect();
+        let Some(duties) = self.gateway.parts.duties.clone() else {
+            return false;
+        };
+        let holder = DutyHolder {
+            instance: self.gateway.parts.card.id.as_str(),
+            fence,
+        };
+        let outcome = duties.report_usage(holder, window, &counts).await;
+        log::info!(window, fence, requests = counts.values().sum::<u64>(), outcome:? = outcome; "usage reported");
+        match outcome {
+            DutyOutcome::Accepted => {
+                self.reported.insert(window);
+                true
+            }
+            DutyOutcome::Fenced => {
+                self.gateway
+                    .release_duties("the platform has seen a higher fencing number");
+                false
+            }
+            DutyOutcome::Refused(_) | DutyOutcome::NoAnswer(_) => false,
+        }
+    }
+
+    /// Fixes the figures of a window in the store.
+    async fn fix(&mut self, window: u64) -> Option<Vec<(CustomerId, u64)>> {
+        let (counts, end) = {
+            let state = self.gateway.state();
+            let mut counts: Vec<(CustomerId, u64)> = state.usage.total(window).into_iter().collect();
+            counts.sort();
+            (counts, state.ledger.next_offset())
+        };
+        let record = DutyRecord::Usage {
+            window,
+            counts: counts.clone(),
+        };
+        if !self.log.append(record, end).await {
+            return None;
+        }
+        self.gateway.state().ledger.usage(window).map(<[_]>::to_vec)
+    }
+}
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::time::MonoTime;
 
-use super::members::{MemberCard, MemberReport, MemberState, MemberTable};
+use super::members::{MemberCard, MemberReport, MemberStage, MemberState, MemberTable};
 
 /// Shortest time between two heartbeats: load told to others is about this old.
 const INTERVAL_LEAST: Duration = Duration::from_millis(100);
@@ -34,6 +34,10 @@
 /// Fewest relays of a data centre: one may be lost at any moment.
 const RELAYS_LEAST: usize = 2;
 
+/// Rounds between two heartbeats to a keeper of usage counts in another data centre; a window is settled within
+/// many of them.
+const KEEPER_ROUNDS: u64 = 3;
+
 /// Rounds between two heartbeats to an instance that is silent.
 const PROBE_ROUNDS: u64 = 4;
 
@@ -63,8 +67,11 @@
     pub near: Vec<SocketAddr>,
     /// Instances of other data centres; a relay passes on to them what it knows of its own.
     pub far: Vec<SocketAddr>,
-    /// Instances of other data centres that sent by themselves: the two see different relays.
+    /// Instances of other data centres that need this one's own report only: those that sent by themselves, as
+    /// the two see different relays, and now and then the keepers of usage counts.
     pub answers: Vec<SocketAddr>,
+    /// Instances that are told this one's usage counts.
+    pub keepers: FastSet<SocketAddr>,
     /// True if this instance is a relay.
     pub is_relay: bool,
 }
@@ -109,8 +116,10 @@
         let is_probing = round.is_multiple_of(PROBE_ROUNDS);
         let live: FastSet<&InstanceId> = ranked.iter().map(|card| &card.id).collect();
         let silence = self.members.silence();
+        let is_telling = round.is_multiple_of(KEEPER_ROUNDS);
         let mut targets = RoundTargets {
             is_relay,
+            keepers: self.usage_keepers(),
             ..RoundTargets::default()
         };
         for member in self.members.all() {
@@ -126,7 +135,7 @@
             let is_contact = member.direct_at.is_some_and(|at| self.now.since(at) < silence);
             if is_relay && (is_relay_of(card) || is_probed) {
                 targets.far.push(card.peer);
-            } else if is_contact {
+            } else if is_contact || is_telling && targets.keepers.contains(&card.peer) {
                 targets.answers.push(card.peer);
             }
         }
@@ -143,7 +152,7 @@
     }
 
     /// Instances that keep the usage counts: the holder of the duties, and the first in rank, who succeed it.
-    pub fn usage_keepers(&self) -> FastSet<SocketAddr> {
+    fn usage_keepers(&self) -> FastSet<SocketAddr> {
         let holders = self
             .members
             .live(self.now)
@@ -179,6 +188,29 @@
         newest.is_none() || before < FOLLOWERS * 2 * usize::try_from(waves.max(1)).unwrap_or(usize::MAX)
     }
 
+    /// Place of this instance among those that could take the duties at once: they serve and reach the store, as
+    /// this one does if `is_reached`. `None` if it isn't one of them.
+    pub fn succession(&self, is_reached: bool) -> Option<usize> {
+        if !is_reached {
+            return None;
+        }
+        let own_rank = rank(self.own);
+        let before = self.members.live(self.now).filter(|member| {
+            member.report.stage == MemberStage::Ready
+                && rank(member.card()) < own_rank
+                && member
+                    .store_answer_at()
+                    .is_some_and(|at| self.now.since(at) < ANSWER_FRESH)
+        });
+        Some(before.count())
+    }
+
+    /// True if this instance is among the first in rank, one of which succeeds a lost holder of the duties.
+    pub fn is_successor(&self) -> bool {
+        let first = self.ranked().into_iter().take(USAGE_COPIES);
+        first.into_iter().any(|card| card.id == self.own.id)
+    }
+
     /// Place of this instance among those that may follow the store, and their number.
     pub fn turn(&self) -> (usize, usize) {
         let ranked = self.ranked();
--- a/marigoldlock_core/src/gateway/roles.rs
+++ b/marigoldlock_core/src/gateway/roles.rs
@@ -83,6 +83,8 @@
     samples: u32,
     generating: f64,
     queue: f64,
+    /// True once requests were seen.
+    has_served: bool,
     ordered: FastMap<UpstreamId, Ordered>,
     last_turn: Option<(UpstreamRole, MonoTime)>,
 }
@@ -146,11 +148,20 @@
             .max(1)
             .saturating_sub(self.ordered.len());
         let queue = self.queue / (readers.len() + reading).max(1) as f64;
+        if !self.has_served && have > least {
+            // Before the first request a change takes nothing from anybody. Generators that are too few make all
+            // tokens a little slower, readers that are too few turn callers away.
+            let count = (have - least).min(room).min(generators.len().saturating_sub(1));
+            let changes = self.turn(&generators, UpstreamRole::Prefill, count, now);
+            self.last_turn = None;
+            return changes;
+        }
         if have > wanted && queue > QUEUE_TOKENS {
             let count = (have - wanted).min(room).min(generators.len().saturating_sub(1));
             return self.turn(&generators, UpstreamRole::Prefill, count, now);
         }
-        let is_crowded = self.generating > REQUESTS_CROWDED * generators.len().max(1) as f64;
+        let helped = (generators.len() + coming).max(1);
+        let is_crowded = self.generating > REQUESTS_CROWDED * helped as f64;
         let is_short = have < least || have < wanted && is_crowded;
         if is_short && readers.len() + reading > READERS_LEAST {
             let missing = least.saturating_sub(have).max(1);
@@ -183,6 +194,7 @@
             .chain(generators)
             .map(|engine| engine.reading_tokens)
             .sum();
+        self.has_served |= generating > 0 || queue > 0;
         self.samples = self.samples.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
         self.generating += weight * (f64::from(generating) - self.generating);
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -349,9 +349,22 @@
     let mut fleet = Fleet::new(72, 5);
     fleet.nodes[70].duty_fence = Some(3);
     fleet.steps(ROUNDS_TO_MEET);
-    let keepers = fleet.view(30).usage_keepers();
+    let keepers = fleet.view(30).targets(1).keepers;
     assert_eq!(keepers.len(), 5);
     assert!(keepers.contains(&fleet.nodes[70].card.peer));
+    // Whatever its data centre, every instance reaches every keeper within a few rounds.
+    for number in 0..72 {
+        let mut reached: FastSet<SocketAddr> = FastSet::default();
+        for round in 1..=3 {
+            let targets = fleet.view(number).targets(round);
+            reached.extend(targets.near.iter().chain(&targets.far).chain(&targets.answers));
+        }
+        let own = fleet.nodes[number].card.peer;
+        let missing = keepers
+            .iter()
+            .filter(|keeper| **keeper != own && !reached.contains(*keeper));
+        assert_eq!(missing.count(), 0, "instance {number}");
+    }
     let ranked = fleet.view(30).ranked();
     for card in ranked.iter().take(4) {
         assert!(keepers.contains(&card.peer));
--- a/marigoldlock_core/src/gateway/tests/load.rs
+++ b/marigoldlock_core/src/gateway/tests/load.rs
@@ -48,6 +48,22 @@
     changes
 }
 
+/// Feeds samples without any request.
+fn idle(planner: &mut RolePlanner, engines: &[UpstreamEntry], from: u64, seconds: u64) -> Vec<RoleChange> {
+    let loads: Vec<EngineLoad<'_>> = engines
+        .iter()
+        .map(|entry| EngineLoad {
+            entry,
+            requests: 0,
+            reading_tokens: 0,
+            is_healthy: true,
+        })
+        .collect();
+    (0..seconds * 4)
+        .flat_map(|tick| planner.plan(&loads, millis(3_000), at(from + tick * 250)))
+        .collect()
+}
+
 #[test]
 fn long_prompts_turn_idle_generators_into_readers_once() {
     let engines = engines(4, 8);
@@ -81,6 +97,39 @@
     assert!(first.len() <= 1, "{first:?}");
 }
 
+#[test]
+fn crowded_generators_draw_no_more_help_than_is_on_its_way() {
+    // Half as many requests again as three generators carry: two more are enough, whenever they come.
+    let engines = engines(9, 3);
+    let mut planner = RolePlanner::default();
+    let changes = run(&mut planner, &engines, 1_000, 45, 0, 3);
+    assert_eq!(changes.len(), 2, "{changes:?}");
+}
+
+#[test]
+fn engines_get_ready_to_read_before_the_first_request() {
+    let mut engines = engines(4, 8);
+    let mut planner = RolePlanner::default();
+    let changes = idle(&mut planner, &engines, 0, 3);
+    assert_eq!(changes.len(), 5, "three generators stay, one in each data centre");
+    assert!(changes.iter().all(|change| change.role == UpstreamRole::Prefill));
+    for entry in &mut engines {
+        if changes.iter().any(|change| change.upstream == entry.id) {
+            entry.role = UpstreamRole::Prefill;
+        }
+    }
+    // If output is asked for in the first moment, they turn back without a pause.
+    assert!(!run(&mut planner, &engines, 100, 60, 4_000, 5).is_empty());
+}
+
+#[test]
+fn a_lull_after_requests_changes_no_role() {
+    let engines = engines(4, 8);
+    let mut planner = RolePlanner::default();
+    assert!(run(&mut planner, &engines, 500, 2, 0, 2).is_empty());
+    assert!(idle(&mut planner, &engines, 2_000, 5).is_empty());
+}
+
 #[test]
 fn a_mix_that_swings_back_at_once_does_not_turn_engines_to_and_fro() {
     let mut engines = engines(4, 8);
