Have a prompt read by another reader if its reader never got it; bound the wait for a reading

Ruled out: refusing such prompts (a reader is there); retrying a reading that may have arrived (it counts as an attempt). Change: up to three readers are tried while nothing was sent; a reading is given up after four times what its queue should take, once the rate is known. Test: a_prompt_whose_reader_is_gone_is_read_by_another_reader (with one reader tried: s1 was read by a generator).

--- a/marigoldlock/src/gateway/reading.rs
+++ b/marigoldlock/src/gateway/reading.rs
@@ -22,6 +22,15 @@
 /// Longest time between two looks at the queue, in case nothing told of a change.
 const QUEUE_CHECK: Duration = Duration::from_millis(100);
 
+/// Readers that are tried for one prompt; a whole data centre of them may vanish at once.
+const READERS_TRIED: usize = 3;
+
+/// Shortest wait for a reading: longer than what other instances may have sent there meanwhile takes.
+const READ_PATIENCE_LEAST: Duration = Duration::from_millis(800);
+
+/// Wait for a reading, in times that it should take.
+const READ_PATIENCE_FACTOR: u32 = 4;
+
 /// What was found for the reading of a prompt.
 pub enum ReaderChoice {
     /// An upstream with room, and the tokens that it has to read.
@@ -32,13 +41,39 @@
     Busy(Duration),
 }
 
-/// Has the prompt read by an upstream that reads faster, if that is worth it.
-pub async fn read_prompt(call: &mut Call, entry: &UpstreamEntry, unread: u64) -> Option<HandleGuard> {
+/// What came of a reading.
+pub enum ReadOutcome {
+    /// The prompt is read.
+    Read(HandleGuard),
+    /// The upstream never got the request, so that another may read the prompt.
+    NotSent,
+    /// The upstream failed, or may have read the prompt.
+    Failed,
+}
+
+/// Has the prompt read by an upstream that reads faster; those that never get the request are passed over.
+pub async fn read_prompt(call: &mut Call, entry: UpstreamEntry, unread: u64) -> Option<HandleGuard> {
+    let mut reader = (entry, unread);
+    for _ in 0..READERS_TRIED {
+        match read_at(call, &reader.0, reader.1).await {
+            ReadOutcome::Read(handle) => return Some(handle),
+            ReadOutcome::Failed => return None,
+            ReadOutcome::NotSent => {}
+        }
+        match wait_for_reader(call, false).await {
+            ReaderChoice::Reader(entry, unread) => reader = (entry, unread),
+            ReaderChoice::Unneeded | ReaderChoice::Busy(_) => return None,
+        }
+    }
+    None
+}
+
+async fn read_at(call: &mut Call, entry: &UpstreamEntry, unread: u64) -> ReadOutcome {
     let started = call.gateway.now();
     let requests = call.requests_at(entry) + 1;
     let plan = AttemptPlan {
         is_prefill: true,
-        patience: call.time_left(),
+        patience: read_patience(call, entry, unread),
         ..AttemptPlan::default()
     };
     let mut guard = WorkGuard::open(&call.gateway, &entry.id, unread);
@@ -50,12 +85,13 @@
     let body = match result {
         Ok(answer) => answer.into_body(),
         Err(failure) => {
-            // Reading a prompt runs nothing; a refused reading counts as an attempt all the same.
-            if failure != AttemptFailure::NotSent {
-                call.ledger.count_sent();
-            }
             call.note_health(entry, failure);
-            return None;
+            if failure == AttemptFailure::NotSent {
+                return ReadOutcome::NotSent;
+            }
+            // Reading a prompt runs nothing; a refused reading counts as an attempt all the same.
+            call.ledger.count_sent();
+            return ReadOutcome::Failed;
         }
     };
     match call.gateway.parts.upstream.read_prefill(&body) {
@@ -70,7 +106,7 @@
                     .or_default()
                     .record(unread, elapsed, requests);
             }
-            Some(HandleGuard {
+            ReadOutcome::Read(HandleGuard {
                 gateway: Arc::clone(&call.gateway),
                 source: KvSource {
                     address: entry.address,
@@ -81,11 +117,28 @@
         }
         Err(err) => {
             log::warn!(request = call.head.attempt_id, upstream:% = entry.id, error:% = err; "a prompt's handle can't be read");
-            None
+            ReadOutcome::Failed
         }
     }
 }
 
+/// Longest wait for a reading: several times what the reader's queue should take. A reader that fell silent would
+/// hold the request until its connection is given up.
+fn read_patience(call: &Call, entry: &UpstreamEntry, unread: u64) -> Duration {
+    let state = call.gateway.state();
+    let queued = state
+        .upstreams
+        .get(&entry.id)
+        .map_or(0, UpstreamState::reading_tokens);
+    let rate = state.rates.get(&call.service).copied().unwrap_or_default();
+    drop(state);
+    let time_left = call.time_left();
+    match rate.known_time_for(queued + unread) {
+        Some(expected) => time_left.min(READ_PATIENCE_LEAST + expected * READ_PATIENCE_FACTOR),
+        None => time_left,
+    }
+}
+
 /// Waits until the upstream that should read the prompt has room; gives up early only if `may_refuse`.
 pub async fn wait_for_reader(call: &Call, may_refuse: bool) -> ReaderChoice {
     let ticket = call.gateway.state().queue.ticket(call.rank());
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -110,7 +110,7 @@
 
 async fn open_with(call: &mut Call, reader: ReaderChoice, last_event: Option<u64>) -> Option<OpenStream> {
     let mut source = match reader {
-        ReaderChoice::Reader(entry, unread) => read_prompt(call, &entry, unread).await,
+        ReaderChoice::Reader(entry, unread) => read_prompt(call, entry, unread).await,
         ReaderChoice::Unneeded | ReaderChoice::Busy(_) => None,
     };
     while call.may_send() {
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -177,6 +177,35 @@
     assert_eq!(site.runs_of("s1"), 1);
 }
 
+#[tokio::test]
+async fn a_prompt_whose_reader_is_gone_is_read_by_another_reader() {
+    let site = Site::start(1).await;
+    // Two more readers are listed; nobody listens at their address.
+    for id in ["x1", "x2"] {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut entry = site.runner("p1").entry("ready");
+        entry["Address"] = closed.local_addr().unwrap().to_string().into();
+        site.store.put_upstream(id, Some(&entry));
+    }
+    until("they are listed", || site.instances[0].usable_upstreams() == 7).await;
+    let front = site.instances[0].addresses().front;
+    for number in 0..16 {
+        let (attempt, parts) = (
+            format!("s{number}"),
+            format!("{:x}:4000,{:x}:1000", 100 + number, 900 + number),
+        );
+        let answer = site
+            .caller
+            .send_prompt(front, "/draft/x", &attempt, SITE_KEY, &parts)
+            .await;
+        assert_eq!(event_ids(&answer.unwrap().text().await.unwrap()), ALL_EVENTS);
+    }
+    let runs = ["d1", "d2"].iter().flat_map(|id| site.runner(id).runs());
+    for run in runs {
+        assert!(run.kv_source.is_some(), "{} was read by a generator", run.attempt);
+    }
+}
+
 #[tokio::test]
 async fn a_reader_whose_answers_are_lost_costs_no_request() {
     let site = Site::start(1).await;
--- a/marigoldlock_core/src/gateway/admission.rs
+++ b/marigoldlock_core/src/gateway/admission.rs
@@ -12,6 +12,9 @@
 /// Fewest tokens of a sample: shorter readings measure the fixed cost of a request instead.
 const SAMPLE_TOKENS: u64 = 1_000;
 
+/// Smallest rate that is reckoned with, in tokens a millisecond, so that times stay finite.
+const RATE_LEAST: f64 = 0.1;
+
 /// Wait for the first token that is still accepted, in latency objectives. A late answer is still worth something to
 /// its caller, and the estimate of the wait is rough.
 const WAIT_OBJECTIVES: f64 = 1.5;
@@ -40,11 +43,15 @@
         self.tokens_per_ms = Some(rate + SAMPLE_WEIGHT * (sample - rate));
     }
 
+    /// Time to read `tokens`; `None` while the rate isn't known.
+    pub fn known_time_for(&self, tokens: u64) -> Option<Duration> {
+        let rate = self.tokens_per_ms?.max(RATE_LEAST);
+        Some(Duration::from_secs_f64(tokens as f64 / rate / 1e3))
+    }
+
     /// Time to read `tokens`; zero while the rate isn't known.
     pub fn time_for(&self, tokens: u64) -> Duration {
-        self.tokens_per_ms.map_or(Duration::ZERO, |rate| {
-            Duration::from_secs_f64(tokens as f64 / rate.max(0.1) / 1e3)
-        })
+        self.known_time_for(tokens).unwrap_or_default()
     }
 }
 
--- a/marigoldlock_standin/src/site/caller.rs
+++ b/marigoldlock_standin/src/site/caller.rs
@@ -47,6 +47,23 @@
         path: &str,
         attempt: &str,
         key: &str,
+    ) -> reqwest::Result<Response> {
+        self.send_prompt(front, path, attempt, key, "aa:4000,bb:1000")
+            .await
+    }
+
+    /// Sends a request with a prompt of 5,000 tokens whose parts are listed as callers list them.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn send_prompt(
+        &self,
+        front: SocketAddr,
+        path: &str,
+        attempt: &str,
+        key: &str,
+        parts: &str,
     ) -> reqwest::Result<Response> {
         let is_look = path.starts_with("/look");
         self.http
@@ -59,7 +76,7 @@
             .header("Authorization", format!("Bearer {key}"))
             .header("Deadline-Ms", "3000")
             .header("Token-Counts", "5000,20")
-            .header("Prompt-Prefix", "aa:4000,bb:1000")
+            .header("Prompt-Prefix", parts)
             .body(if is_look { "" } else { SITE_BODY })
             .send()
             .await
