Refuse the store's calls by instance, late and slow in the stand-in; put changed bounds in force without a restart

Ruled out: telling instances apart by their port (they open new connections); watching the file by notification (not available). Change: doors of the stand-in store, late appends, delay; the settings file is looked at each five seconds and at SIGHUP, its bounds are put in force, a bad file is told once and changes nothing.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -134,7 +134,7 @@
             let fence = state.ledger.fence_of(&card.id, card.incarnation);
             (
                 fence,
-                state.ledger.may_claim(now, self.gateway.parts.bounds.lease),
+                state.ledger.may_claim(now, self.gateway.bounds().lease),
                 state.ledger.next_offset(),
             )
         };
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -72,7 +72,7 @@
 }
 
 /// Bounds that the gateway keeps to.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GatewayBounds {
     /// Repeats of requests, over all instances.
     pub budget: BudgetLimits,
@@ -117,6 +117,7 @@
 /// What the tasks of a gateway share.
 pub(crate) struct Gateway {
     parts: GatewayParts,
+    bounds: Mutex<GatewayBounds>,
     state: Mutex<GatewayState>,
     links: Mutex<LinkPool>,
     /// Told when work at upstreams has changed.
@@ -138,6 +139,10 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn bounds(&self) -> GatewayBounds {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn now(&self) -> MonoTime {
         self.parts.clock.now()
     }
@@ -158,6 +163,7 @@
     pub async fn start(mut parts: GatewayParts) -> Result<Self> {
         let listeners = Listeners::bind(&mut parts).await?;
         let gateway = Arc::new(Gateway {
+            bounds: Mutex::new(parts.bounds),
             state: Mutex::new(GatewayState::default()),
             links: Mutex::new(LinkPool::default()),
             work_changed: Notify::new(),
@@ -224,6 +230,27 @@
         self.gateway.state().members.live(now).count()
     }
 
+    /// Puts other bounds in force; the length of usage windows stays, since it numbers them.
+    pub fn set_bounds(&self, bounds: GatewayBounds) {
+        let mut current = self.gateway.bounds.lock().unwrap_or_else(PoisonError::into_inner);
+        let usage_window = current.usage_window;
+        if bounds.usage_window != usage_window {
+            log::warn!(
+                in_force_ms = usage_window.as_millis() as u64, told_ms = bounds.usage_window.as_millis() as u64;
+                "another length of usage windows counts from the next start only"
+            );
+        }
+        *current = GatewayBounds {
+            usage_window,
+            ..bounds
+        };
+    }
+
+    /// Bounds in force.
+    pub fn bounds(&self) -> GatewayBounds {
+        self.gateway.bounds()
+    }
+
     /// Takes settings as if the store had sent them.
     pub fn put_settings_from_store(&self, value: &[u8]) {
         follow::apply_settings(&self.gateway, &Bytes::copy_from_slice(value), "store");
@@ -239,7 +266,7 @@
     /// Leaves the address answer, lets running requests finish and ends.
     pub async fn close(self) {
         let gateway = self.gateway;
-        let grace = gateway.parts.bounds.shutdown_grace.saturating_sub(KILL_MARGIN);
+        let grace = gateway.bounds().shutdown_grace.saturating_sub(KILL_MARGIN);
         let started = tokio::time::Instant::now();
         gateway.state().stage = MemberStage::Leaving;
         log::info!(grace_ms = grace.as_millis() as u64; "instance is leaving");
--- a/marigoldlock/src/gateway/session.rs
+++ b/marigoldlock/src/gateway/session.rs
@@ -171,7 +171,7 @@
 
     fn count_request(&self) {
         let now = self.gateway.now();
-        let limits = self.gateway.parts.bounds.budget;
+        let limits = self.gateway.bounds().budget;
         let mut state = self.gateway.state();
         state
             .budgets
@@ -183,7 +183,7 @@
     /// Takes a repeat from the service's budget.
     pub fn try_repeat(&self) -> bool {
         let now = self.gateway.now();
-        let limits = self.gateway.parts.bounds.budget;
+        let limits = self.gateway.bounds().budget;
         let mut state = self.gateway.state();
         let instances = state.instances();
         state
--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -30,7 +30,7 @@
 impl Gateway {
     /// Number of the usage window at a time.
     pub(super) fn window(&self, unix_ms: u64) -> u64 {
-        let length = u64::try_from(self.parts.bounds.usage_window.as_millis()).unwrap_or(u64::MAX);
+        let length = u64::try_from(self.bounds().usage_window.as_millis()).unwrap_or(u64::MAX);
         unix_ms / length.max(1)
     }
 
@@ -92,8 +92,8 @@
         }
         let settled = self.gateway.true_ms().saturating_sub(SETTLE.as_millis() as u64);
         let current = self.gateway.window(settled);
-        let length = self.gateway.parts.bounds.usage_window;
-        let due = self.gateway.parts.bounds.usage_due.as_millis() / length.as_millis().max(1);
+        let length = self.gateway.bounds().usage_window;
+        let due = self.gateway.bounds().usage_due.as_millis() / length.as_millis().max(1);
         let oldest = current.saturating_sub(u64::try_from(due).unwrap_or(2) + 1);
         for window in oldest..current {
             if !self.reported.contains(&window) && !self.report(fence, window).await {
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Args;
 use eyre::{Result, WrapErr};
@@ -10,7 +11,7 @@
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
     PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
-    PlatformUpstream, ProcessSettings, SETTINGS_VARIABLE,
+    PlatformUpstream, ProcessSettings, RuleBounds, SETTINGS_VARIABLE,
 };
 use marigoldlock_wire::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
@@ -18,6 +19,9 @@
 use crate::clock::BootClock;
 use crate::gateway::{GatewayAddresses, GatewayBounds, GatewayParts, GatewayServer};
 
+/// Time between two looks at the settings file, which may change without a signal; it is small and rarely changes.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+
 /// Flags of an instance on the users' platform; the rest stands in the platform's settings file.
 #[derive(Args, Clone, Debug)]
 pub struct PlatformOptions {
@@ -42,27 +46,82 @@
     crate::metrics::init();
     let metrics = SocketAddr::new(settings.ip, options.metrics_port);
     let server = GatewayServer::start(gateway_parts(&settings, Some(metrics))?).await?;
+    let mut watch = SettingsWatch::new(options.settings_file, settings);
+    let mut looks = tokio::time::interval(LOOK_EVERY);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&options, &settings),
+            _ = hangup.recv() => watch.reload(&server, "signal"),
+            _ = looks.tick() => watch.reload(&server, "file"),
         }
     }
     server.close().await;
     Ok(())
 }
 
-/// Checks a changed settings file. Addresses and bounds are taken at the start only.
-fn reload(options: &PlatformOptions, before: &ProcessSettings) {
-    match ProcessSettings::load(&options.settings_file) {
-        Ok(after) => log::info!(changed = after != *before; "settings file read again"),
-        Err(err) => {
-            log::error!(error:% = err; "the changed settings file can't be used; the old settings stay")
+/// Follows the platform's settings file, which also changes without a signal.
+pub struct SettingsWatch {
+    file: PathBuf,
+    current: ProcessSettings,
+    /// Why the file couldn't be used last time; told once.
+    failure: Option<String>,
+}
+
+impl SettingsWatch {
+    /// Follows `file`, of which `current` is in force.
+    pub fn new(file: PathBuf, current: ProcessSettings) -> Self {
+        Self {
+            file,
+            current,
+            failure: None,
+        }
+    }
+
+    /// Reads the file again and puts its bounds in force; addresses count from the next start.
+    pub fn reload(&mut self, server: &GatewayServer, cause: &'static str) {
+        match ProcessSettings::load(&self.file) {
+            Ok(settings) if settings == self.current => {
+                self.failure = None;
+                if cause == "signal" {
+                    log::info!(cause, changed = false; "settings file read again");
+                }
+            }
+            Ok(settings) => {
+                let needs_start = ProcessSettings {
+                    bounds: self.current.bounds,
+                    ..settings.clone()
+                } != self.current;
+                log::info!(cause, changed = true, needs_start; "settings file read again");
+                server.set_bounds(gateway_bounds(&settings.bounds));
+                self.current = settings;
+                self.failure = None;
+            }
+            Err(err) => {
+                let failure = err.to_string();
+                if self.failure.as_ref() != Some(&failure) {
+                    log::error!(cause, error = failure; "the changed settings file can't be used; the old settings stay");
+                }
+                self.failure = Some(failure);
+            }
         }
     }
 }
 
+fn gateway_bounds(bounds: &RuleBounds) -> GatewayBounds {
+    GatewayBounds {
+        budget: BudgetLimits {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        },
+        shutdown_grace: bounds.shutdown_grace,
+        lease: bounds.lease,
+        usage_window: bounds.usage_window,
+        usage_due: bounds.usage_due,
+    }
+}
+
 /// A gateway's parts, with the platform's adapters.
 ///
 /// # Errors
@@ -74,7 +133,6 @@
     let duties = settings
         .duties
         .map(|address| PlatformDuties::new(address, http.clone()));
-    let bounds = settings.bounds;
     Ok(GatewayParts {
         card: MemberCard {
             id: InstanceId::from(settings.name.as_str()),
@@ -96,17 +154,7 @@
             .iter()
             .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port))
             .collect(),
-        bounds: GatewayBounds {
-            budget: BudgetLimits {
-                ratio: bounds.retry_ratio,
-                slack: bounds.retry_slack,
-                window: bounds.retry_window,
-            },
-            shutdown_grace: bounds.shutdown_grace,
-            lease: bounds.lease,
-            usage_window: bounds.usage_window,
-            usage_due: bounds.usage_due,
-        },
+        bounds: gateway_bounds(&settings.bounds),
         caller: Arc::new(PlatformCaller),
         upstream: Arc::new(PlatformUpstream),
         directory: Arc::new(PlatformDirectory),
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use marigoldlock_standin::site::{SITE_HOST, SITE_KEY, site_settings};
+use marigoldlock::platform_run::SettingsWatch;
+use marigoldlock_platform::ProcessSettings;
+use marigoldlock_standin::site::{SITE_HOST, SITE_KEY, instance_file, site_settings};
 use platform_support::{Site, event_ids, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -485,3 +487,112 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_instance_that_the_store_turns_away_hears_of_changes_from_another() {
+    let site = Site::start(3).await;
+    for turned_away in 0..3 {
+        site.store.set_door(turned_away, Some(429));
+        let (id, left) = [("a1", 4), ("d1", 3), ("d2", 2)][turned_away];
+        site.store
+            .put_upstream(id, Some(&site.runner(id).entry("draining")));
+        until("all know who leaves", || {
+            site.instances
+                .iter()
+                .all(|instance| instance.usable_upstreams() == left)
+        })
+        .await;
+        site.store.set_door(turned_away, None);
+    }
+}
+
+#[tokio::test]
+async fn a_holder_that_the_store_turns_away_hands_its_duties_on() {
+    let site = Site::start(2).await;
+    for number in 0..6 {
+        site.send(number % 2, "/look/x", &format!("l{number}")).await;
+    }
+    until("six requests are reported", || site.reported() == 6).await;
+    let holder = site.duties.usage().into_values().next().unwrap().holder;
+    site.store.set_door(usize::from(holder == "n1"), Some(503));
+    for number in 6..10 {
+        site.send(number % 2, "/look/x", &format!("l{number}")).await;
+    }
+    until("ten requests are reported", || site.reported() == 10).await;
+    assert!(
+        site.duties
+            .usage()
+            .into_values()
+            .any(|usage| usage.holder != holder)
+    );
+    assert_eq!(site.duties.conflicts(), 0);
+}
+
+#[tokio::test]
+async fn appends_that_take_effect_late_change_no_figure() {
+    let site = Site::start(2).await;
+    site.store.set_faults(|faults| {
+        faults.late_appends = 3;
+        faults.late_by = Duration::from_millis(1_500);
+    });
+    for number in 0..8 {
+        site.send(number % 2, "/look/x", &format!("l{number}")).await;
+    }
+    until("eight requests are reported", || site.reported() == 8).await;
+    assert_eq!(site.duties.conflicts(), 0);
+}
+
+#[tokio::test]
+async fn a_slow_store_delays_changes_and_loses_none() {
+    let site = Site::start(2).await;
+    site.store
+        .set_faults(|faults| faults.delay = Duration::from_millis(300));
+    site.store.put_settings(&site_settings(40));
+    site.store
+        .put_upstream("a1", Some(&site.runner("a1").entry("draining")));
+    until("both know both", || {
+        site.instances
+            .iter()
+            .all(|instance| instance.settings_version() == 40 && instance.usable_upstreams() == 4)
+    })
+    .await;
+    assert_eq!(site.send(0, "/look/x", "l1").await.status(), 200);
+}
+
+#[tokio::test]
+async fn a_changed_settings_file_puts_its_bounds_in_force_and_a_bad_one_changes_nothing() {
+    let site = Site::start(1).await;
+    let server = &site.instances[0];
+    let mut file = instance_file("n0", site.store.address(), site.duties.address());
+    let settings = ProcessSettings::parse(file.to_string().as_bytes()).unwrap();
+    let path = std::env::temp_dir().join(format!("marigoldlock-{}.json", std::process::id()));
+    let mut watch = SettingsWatch::new(path.clone(), settings);
+    let before = server.bounds();
+    watch.reload(server, "file");
+    assert_eq!(server.bounds(), before, "there is no file");
+    file["Bounds"]["RetrySlack"] = 7.into();
+    file["Bounds"]["GraceS"] = 3.into();
+    file["Bounds"]["ReportWindowS"] = 60.into();
+    std::fs::write(&path, file.to_string()).unwrap();
+    watch.reload(server, "signal");
+    let after = server.bounds();
+    assert_eq!(
+        (after.budget.slack, after.shutdown_grace),
+        (7.0, Duration::from_secs(3))
+    );
+    assert_eq!(
+        after.usage_window, before.usage_window,
+        "windows keep their numbers"
+    );
+    for bad in [
+        "{",
+        "{}",
+        &file.to_string().replace("\"GraceS\":3", "\"GraceS\":-1"),
+    ] {
+        std::fs::write(&path, bad).unwrap();
+        watch.reload(server, "file");
+        assert_eq!(server.bounds(), after, "{bad}");
+    }
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(site.send(0, "/look/x", "l1").await.status(), 200);
+}
--- a/marigoldlock_fleet/src/site.rs
+++ b/marigoldlock_fleet/src/site.rs
@@ -81,13 +81,14 @@
         Ok(site)
     }
 
-    /// Starts one more instance and waits until it serves.
+    /// Starts one more instance, with an address of the store of its own, and waits until it serves.
     ///
     /// # Errors
     ///
     /// If it can't be started or isn't ready in time.
     pub async fn start_instance(&mut self, number: usize) -> Result<()> {
-        let file = instance_file(&format!("n{number}"), self.store.address(), self.duties.address());
+        let door = self.store.open_door().await?;
+        let file = instance_file(&format!("n{number}"), door, self.duties.address());
         let settings = ProcessSettings::parse(file.to_string().as_bytes()).map_err(|reason| eyre!(reason))?;
         let server = GatewayServer::start(gateway_parts(&settings, None)?).await?;
         until("an instance is ready", || {
--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -29,6 +29,12 @@
     pub refuse: Option<u16>,
     /// Appends that take effect and are not answered, from now on.
     pub lost_answers: u32,
+    /// Appends that are not answered and take effect later, from now on.
+    pub late_appends: u32,
+    /// Time after which such an append takes effect, if its condition still holds.
+    pub late_by: Duration,
+    /// Time that each call takes.
+    pub delay: Duration,
     /// Calls that wait are not told of new records; they find them when they are made anew.
     pub deaf_waits: bool,
     /// Listings leave out changes from this offset on.
@@ -47,6 +53,8 @@
     topics: BTreeMap<String, Topic>,
     faults: StoreFaults,
     calls: u64,
+    /// Status with which the calls at each door are refused.
+    doors: Vec<Option<u16>>,
 }
 
 type Shared = Arc<(Mutex<StoreState>, Notify)>;
@@ -56,6 +64,15 @@
 pub struct StoreStandin {
     shared: Shared,
     listening: Listening,
+    doors: Vec<Listening>,
+}
+
+/// The store as it is met at one address.
+#[derive(Clone)]
+struct StoreDoor {
+    shared: Shared,
+    /// Index of the door; `None` for the main address.
+    number: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -80,13 +97,34 @@
     /// If no address can be bound.
     pub async fn start() -> std::io::Result<Self> {
         let shared = Shared::default();
-        let routes = Router::new()
-            .route("/log-append", post(append))
-            .route("/log-read", get(read))
-            .route("/log-newest", get(newest))
-            .with_state(Arc::clone(&shared));
-        let listening = Listening::start(routes).await?;
-        Ok(Self { shared, listening })
+        let listening = Listening::start(routes(&shared, None)).await?;
+        Ok(Self {
+            shared,
+            listening,
+            doors: Vec::new(),
+        })
+    }
+
+    /// Opens one more address of the store, at which calls can be refused apart from the others.
+    ///
+    /// # Errors
+    ///
+    /// If no address can be bound.
+    pub async fn open_door(&mut self) -> std::io::Result<SocketAddr> {
+        let number = self.doors.len();
+        lock(&self.shared).doors.push(None);
+        let door = Listening::start(routes(&self.shared, Some(number))).await?;
+        let address = door.address;
+        self.doors.push(door);
+        Ok(address)
+    }
+
+    /// Refuses all calls at a door with a status, or serves them again.
+    pub fn set_door(&self, number: usize, refuse: Option<u16>) {
+        if let Some(door) = lock(&self.shared).doors.get_mut(number) {
+            *door = refuse;
+        }
+        self.shared.1.notify_waiters();
     }
 
     /// Address of the store.
@@ -171,58 +209,100 @@
     shared.0.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Counts the call; gives the refusal if calls are refused.
-fn refused(shared: &Shared) -> Option<Response> {
-    let mut state = lock(shared);
-    state.calls += 1;
-    let status = state.faults.refuse?;
-    Some(
-        StatusCode::from_u16(status)
-            .unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
-            .into_response(),
-    )
+fn routes(shared: &Shared, number: Option<usize>) -> Router {
+    let door = StoreDoor {
+        shared: Arc::clone(shared),
+        number,
+    };
+    Router::new()
+        .route("/log-append", post(append))
+        .route("/log-read", get(read))
+        .route("/log-newest", get(newest))
+        .with_state(door)
 }
 
-async fn append(State(shared): State<Shared>, Query(query): Query<TopicQuery>, body: Bytes) -> Response {
-    if let Some(refusal) = refused(&shared) {
+impl StoreDoor {
+    /// Counts the call and takes its time; gives the refusal if calls are refused.
+    async fn enter(&self) -> Option<Response> {
+        let (delay, refusal) = {
+            let mut state = lock(&self.shared);
+            state.calls += 1;
+            (state.faults.delay, self.refusal(&state))
+        };
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        refusal
+    }
+
+    fn refusal(&self, state: &StoreState) -> Option<Response> {
+        let door = self
+            .number
+            .and_then(|number| state.doors.get(number).copied().flatten());
+        let status = state.faults.refuse.or(door)?;
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        Some(status.into_response())
+    }
+}
+
+async fn append(State(door): State<StoreDoor>, Query(query): Query<TopicQuery>, body: Bytes) -> Response {
+    if let Some(refusal) = door.enter().await {
         return refusal;
     }
-    let is_lost;
-    let answer = {
+    let shared = Arc::clone(&door.shared);
+    let late_by = {
         let mut state = lock(&shared);
-        let topic = state.topics.entry(query.topic.clone()).or_default();
-        let end = topic.end();
-        if query.at.is_some_and(|at| at != end) {
-            let told = axum::Json(json!({"EndOffset": end}));
-            return (StatusCode::PRECONDITION_FAILED, told).into_response();
-        }
-        let mut rest = body;
-        while rest.len() >= 4 {
-            let length = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
-            let record = rest.slice(4..(4 + length).min(rest.len()));
-            rest = rest.slice((4 + length).min(rest.len())..);
-            topic.push(&query.topic, record);
-        }
-        let told = json!({"Offset": end, "EndOffset": topic.end()});
-        is_lost = state.faults.lost_answers > 0;
-        state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
-        axum::Json(told).into_response()
+        let is_late = state.faults.late_appends > 0;
+        state.faults.late_appends = state.faults.late_appends.saturating_sub(1);
+        is_late.then_some(state.faults.late_by)
     };
-    shared.1.notify_waiters();
+    if let Some(late_by) = late_by {
+        tokio::spawn(async move {
+            tokio::time::sleep(late_by).await;
+            append_now(&shared, &query, body);
+        });
+        return std::future::pending().await;
+    }
+    let (answer, is_lost) = append_now(&shared, &query, body);
     if is_lost {
         std::future::pending::<()>().await;
     }
     answer
 }
 
-async fn read(State(shared): State<Shared>, Query(query): Query<TopicQuery>) -> Response {
-    if let Some(refusal) = refused(&shared) {
+/// Appends if the condition holds; tells the answer, and whether it is lost.
+fn append_now(shared: &Shared, query: &TopicQuery, body: Bytes) -> (Response, bool) {
+    let mut state = lock(shared);
+    let topic = state.topics.entry(query.topic.clone()).or_default();
+    let end = topic.end();
+    if query.at.is_some_and(|at| at != end) {
+        let told = axum::Json(json!({"EndOffset": end}));
+        return ((StatusCode::PRECONDITION_FAILED, told).into_response(), false);
+    }
+    let mut rest = body;
+    while rest.len() >= 4 {
+        let length = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        let record = rest.slice(4..(4 + length).min(rest.len()));
+        rest = rest.slice((4 + length).min(rest.len())..);
+        topic.push(&query.topic, record);
+    }
+    let told = json!({"Offset": end, "EndOffset": topic.end()});
+    let is_lost = state.faults.lost_answers > 0;
+    state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
+    drop(state);
+    shared.1.notify_waiters();
+    (axum::Json(told).into_response(), is_lost)
+}
+
+async fn read(State(door): State<StoreDoor>, Query(query): Query<TopicQuery>) -> Response {
+    if let Some(refusal) = door.enter().await {
         return refusal;
     }
+    let shared = Arc::clone(&door.shared);
     let due = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         let changed = shared.1.notified();
-        if let Some(answer) = read_now(&shared, &query, tokio::time::Instant::now() >= due) {
+        if let Some(answer) = read_now(&door, &query, tokio::time::Instant::now() >= due) {
             return answer;
         }
         tokio::select! {
@@ -244,11 +324,10 @@
     [end.to_be_bytes(), first.to_be_bytes()].concat()
 }
 
-fn read_now(shared: &Shared, query: &TopicQuery, is_due: bool) -> Option<Response> {
-    let mut state = lock(shared);
-    if let Some(status) = state.faults.refuse {
-        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-        return Some(status.into_response());
+fn read_now(door: &StoreDoor, query: &TopicQuery, is_due: bool) -> Option<Response> {
+    let mut state = lock(&door.shared);
+    if let Some(refusal) = door.refusal(&state) {
+        return Some(refusal);
     }
     let topic = state.topics.entry(query.topic.clone()).or_default();
     if query.from < topic.first {
@@ -267,10 +346,11 @@
     Some(body.into_response())
 }
 
-async fn newest(State(shared): State<Shared>, Query(query): Query<TopicQuery>) -> Response {
-    if let Some(refusal) = refused(&shared) {
+async fn newest(State(door): State<StoreDoor>, Query(query): Query<TopicQuery>) -> Response {
+    if let Some(refusal) = door.enter().await {
         return refusal;
     }
+    let shared = Arc::clone(&door.shared);
     let mut state = lock(&shared);
     let stale_from = state.faults.stale_from.unwrap_or(u64::MAX);
     let topic = state.topics.entry(query.topic.clone()).or_default();
