Soak real processes under random faults; leave an upstream that keeps turning work away

Ruled out: writing changes under way into the store (one more thing to be stale; the upstream's own refusal tells it); trying more upstreams for one request (a rejected one counts as an attempt). Change: marigoldctl soak and a short soak in the tests: real processes, proxies, signals, a store and upstreams that misbehave, seeded; checks from what callers, upstreams and the platform saw. The pause after a refusal doubles while an upstream turns away whatever comes after it, up to 1.6 s. Tests: promises_hold_under_random_faults (seeds 1, 2), an_upstream_that_keeps_turning_work_away..., an_address_that_others_find_dead...

--- a/marigoldctl/src/lib.rs
+++ b/marigoldctl/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod keys;
 pub mod load;
 pub mod output;
+pub mod soak;
 pub mod standin;
 pub mod status;
--- a/marigoldctl/src/main.rs
+++ b/marigoldctl/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use eyre::Result;
-use marigoldctl::{config, customers, dev, explain, keys, load, standin, status};
+use marigoldctl::{config, customers, dev, explain, keys, load, soak, standin, status};
 
 /// Operators' tool of marigoldlock.
 #[derive(Debug, Parser)]
@@ -30,6 +30,8 @@
     Load(load::LoadArgs),
     /// Run a whole fleet in this process, on stand-ins.
     Dev(dev::DevArgs),
+    /// Run real processes under random faults and check the promises.
+    Soak(soak::SoakArgs),
     /// Run one stand-in as a process of its own.
     Standin(standin::StandinArgs),
 }
@@ -57,6 +59,7 @@
             Command::Explain(args) => explain::run(&args),
             Command::Load(args) => args.run(),
             Command::Dev(args) => dev::run(args).await,
+            Command::Soak(args) => soak::run(args).await,
             Command::Standin(args) => standin::run(args).await,
         }
     })
--- /dev/null
+++ b/marigoldlock/tests/soak.rs
@@ -0,0 +1,28 @@
+//! A short fault soak of real processes, with fixed seeds and those that once failed.
+
+use std::time::Duration;
+
+use marigoldlock_fleet::soak::{self, SoakOptions};
+
+/// Seeds of every run; one that ever failed stays here with a line on its cause.
+const SEEDS: [u64; 2] = [1, 2];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_random_faults() {
+    marigoldlock::logging::init("off");
+    let folder = std::env::temp_dir().join(format!("marigoldlock-soak-{}", std::process::id()));
+    let options = SEEDS.map(|seed| SoakOptions {
+        program: env!("CARGO_BIN_EXE_marigoldlock").into(),
+        seed,
+        instances: 3,
+        faults_for: Duration::from_secs(8),
+        callers: 4,
+        folder: folder.join(seed.to_string()),
+    });
+    let reports = futures::future::join_all(options.iter().map(soak::run)).await;
+    for report in reports {
+        let report = report.unwrap();
+        assert!(report.broken.is_empty(), "{report}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -24,9 +24,13 @@
 /// Age after which a load report tells nothing of the present.
 const REPORT_LIFETIME: Duration = Duration::from_millis(400);
 
-/// Time for which an upstream that was full is avoided: a few of its shortest requests.
+/// First time for which an upstream that was full is avoided: a few of its shortest requests. Doubles while it turns
+/// away whatever comes after the pause, as an engine does that changes its role.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time for which an upstream that was full is avoided: about half of a change of role.
+const FULL_MOST: Duration = Duration::from_millis(1_600);
+
 /// Other instances that must find an upstream unreachable before this one believes it: one alone may have lost its
 /// own links.
 const UNREACHABLE_WITNESSES: u32 = 2;
@@ -73,6 +77,8 @@
     failures: u32,
     ejected_until: MonoTime,
     full_until: MonoTime,
+    /// Pauses in a row, without an answer between them.
+    full_pauses: u32,
     unreachable: bool,
     answered_at: Option<MonoTime>,
 }
@@ -95,6 +101,7 @@
     pub fn record_success(&mut self, now: MonoTime) {
         self.failures = 0;
         self.ejected_until = MonoTime::ZERO;
+        self.full_pauses = 0;
         self.unreachable = false;
         self.answered_at = Some(now);
     }
@@ -122,9 +129,14 @@
         self.unreachable && self.ejected_until > now
     }
 
-    /// Notes that the upstream had no room.
+    /// Notes that the upstream had no room; what was sent before the last pause began says nothing new.
     pub fn record_full(&mut self, now: MonoTime) {
-        self.full_until = now + FULL_PAUSE;
+        if now < self.full_until {
+            return;
+        }
+        let pause = FULL_PAUSE * 2_u32.pow(self.full_pauses.min(4));
+        self.full_pauses += 1;
+        self.full_until = now + pause.min(FULL_MOST);
     }
 
     /// True if the upstream gets work.
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -117,3 +117,40 @@
     assert_eq!(kept.kept_tokens(&first.parts), 0);
     assert_eq!(kept.kept_tokens(&prompt(11, 1_000, 100).parts), 1_100);
 }
+
+#[test]
+fn an_upstream_that_keeps_turning_work_away_is_left_for_longer_each_time() {
+    let mut state = UpstreamState::default();
+    let mut asked = 0;
+    // An engine that changes its role turns everything away for three seconds.
+    for millis in (0..3_000).step_by(10) {
+        if state.is_usable(at(millis)) {
+            // Several requests are on their way at once.
+            for _ in 0..4 {
+                state.record_full(at(millis));
+            }
+            asked += 1;
+        }
+    }
+    assert!(asked <= 6, "asked {asked} times");
+    state.record_success(at(3_200));
+    state.record_full(at(5_000));
+    assert!(
+        !state.is_usable(at(5_099)) && state.is_usable(at(5_100)),
+        "a short rush costs one short pause"
+    );
+}
+
+#[test]
+fn an_address_that_others_find_dead_is_left_unless_it_answers_here() {
+    let mut state = UpstreamState::default();
+    state.witnesses = 1;
+    assert!(state.is_usable(at(0)), "one alone may have lost its own links");
+    state.witnesses = 2;
+    assert!(!state.is_usable(at(0)));
+    state.record_success(at(0));
+    assert!(state.is_usable(at(900)));
+    assert!(!state.is_usable(at(1_100)));
+    assert!(state.record_unreachable(at(1_100)));
+    assert!(state.is_unreachable(at(1_200)) && !state.is_unreachable(at(9_000)));
+}
--- a/marigoldlock_fleet/src/lib.rs
+++ b/marigoldlock_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod instance;
 pub mod process;
 pub mod site;
+pub mod soak;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/marigoldlock_standin/src/site/caller.rs
+++ b/marigoldlock_standin/src/site/caller.rs
@@ -1,6 +1,6 @@
 //! A caller of the platform, and the settings file of an instance there.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use reqwest::{Method, Response};
 use serde_json::{Value, json};
@@ -106,6 +106,29 @@
     }
 }
 
+/// Port on which instances with an address of their own serve callers.
+pub const FRONT_PORT: u16 = 8443;
+
+/// Port on which they tell whether they are ready.
+pub const READINESS_PORT: u16 = 8444;
+
+/// Port on which they tell addresses.
+pub const DIRECTORY_PORT: u16 = 8445;
+
+/// First port between them.
+const PEER_PORT: u16 = 7780;
+
+/// Settings file of an instance that has an address of its own, as a machine has.
+pub fn instance_file_at(name: &str, ip: IpAddr, store: SocketAddr, duties: SocketAddr) -> Value {
+    let mut file = instance_file(name, store, duties);
+    let at = |port| SocketAddr::new(ip, port).to_string();
+    file["Ip"] = ip.to_string().into();
+    file["InternalPorts"] = json!([PEER_PORT, PEER_PORT + 15]);
+    file["Listen"] =
+        json!({"Front": at(FRONT_PORT), "Readiness": at(READINESS_PORT), "Directory": at(DIRECTORY_PORT)});
+    file
+}
+
 /// Settings file of an instance on loopback; free ports are taken.
 pub fn instance_file(name: &str, store: SocketAddr, duties: SocketAddr) -> Value {
     json!({
--- a/marigoldlock_standin/src/site/mod.rs
+++ b/marigoldlock_standin/src/site/mod.rs
@@ -15,9 +15,11 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-pub use self::caller::{SITE_BODY, SiteCaller, instance_file};
+pub use self::caller::{
+    DIRECTORY_PORT, FRONT_PORT, READINESS_PORT, SITE_BODY, SiteCaller, instance_file, instance_file_at,
+};
 pub use self::duties::{AcceptedUsage, DutyStandin, ScaleOrder};
-pub use self::runner::{RunRecord, RunnerFaults, RunnerOptions, RunnerStandin};
+pub use self::runner::{RunRecord, RunnerFaults, RunnerOptions, RunnerStandin, STREAM_EVENTS};
 pub use self::store::{StoreFaults, StoreStandin};
 
 /// Host that the site's routes name.
--- a/marigoldlock_standin/src/site/runner.rs
+++ b/marigoldlock_standin/src/site/runner.rs
@@ -1,5 +1,6 @@
 //! An upstream of the platform: a plain service, or a model engine that reads and generates.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -114,6 +115,11 @@
             "born": 1})
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+
     /// Its id.
     pub fn id(&self) -> &str {
         &self.state.options.id
