--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -51,7 +51,7 @@
 
 /// Reports windows that are due while this instance holds the duties, for ever.
 pub async fn report_usage(gateway: Arc<Gateway>) {
-    let mut reporter = UsageReporter {
+    let mut reporter = WindowReporter {
         log: DutyLog::new(Arc::clone(&gateway)),
         gateway,
         reported: FastSet::default(),
@@ -63,7 +63,7 @@
     }
 }
 
-struct UsageReporter {
+struct WindowReporter {
     gateway: Arc<Gateway>,
     log: DutyLog,
     reported: FastSet<u64>,
@@ -71,7 +71,7 @@
     holding: Option<(u64, MonoTime)>,
 }
 
-impl UsageReporter {
+impl WindowReporter {
     /// Fixes and reports the windows that are due.
     async fn tick(&mut self) {
         let now = self.gateway.now();
--- a/marigoldlock/src/jobs/actor.rs
+++ b/marigoldlock/src/jobs/actor.rs
@@ -10,7 +10,7 @@
 use kameo::message::{Context, Message};
 use log::{info, warn};
 use marigoldlock_core::jobs::{
-    BoardLimits, DeadlineOutlook, JobBoard, JobLimits, JobState, JobStep, WorkRate, deadline_outlook,
+    DeadlineOutlook, JobLimits, JobScheduler, JobState, JobStep, SchedulerLimits, WorkRate, deadline_outlook,
     result_records,
 };
 use marigoldlock_wire::prelude::*;
@@ -59,9 +59,9 @@
     pub changes: u64,
 }
 
-/// Owner of the board.
+/// Owner of the scheduler.
 pub struct JobActor {
-    board: JobBoard,
+    scheduler: JobScheduler,
     sources: JobSources,
     actor: ActorRef<Self>,
     work: Option<Arc<dyn JobWork>>,
@@ -72,9 +72,13 @@
     type Error = Infallible;
 
     async fn on_start(sources: JobSources, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let board = JobBoard::new(sources.incarnation, BoardLimits::default(), JobLimits::default());
+        let scheduler = JobScheduler::new(
+            sources.incarnation,
+            SchedulerLimits::default(),
+            JobLimits::default(),
+        );
         Ok(Self {
-            board,
+            scheduler,
             sources,
             actor,
             work: None,
@@ -106,7 +110,7 @@
         let writer = read.envelope.incarnation;
         for (index, record) in read.envelope.records.iter().enumerate() {
             let position = LogPosition::new(read.offset, index);
-            if self.board.on_record(position, writer, record).is_some() {
+            if self.scheduler.on_record(position, writer, record).is_some() {
                 self.sources.view.send_modify(|view| view.changes += 1);
             }
         }
@@ -130,7 +134,7 @@
                 view.is_down = false;
             }),
             ReadState::Failed => self.sources.view.send_modify(|view| view.is_down = true),
-            ReadState::Expired(first) => self.board.expire(first),
+            ReadState::Expired(first) => self.scheduler.expire(first),
         }
     }
 }
@@ -155,7 +159,7 @@
             return;
         };
         let now_ms = self.sources.clock.unix_ms();
-        for step in self.board.next_steps(now_ms, &tick.alive) {
+        for step in self.scheduler.next_steps(now_ms, &tick.alive) {
             match step {
                 JobStep::Claim(claim) => self.append(vec![JobRecord::Claim(claim)]),
                 JobStep::Run { job, claim } => self.run(job, claim, Arc::clone(&work)),
@@ -172,7 +176,7 @@
     type Reply = ();
 
     async fn handle(&mut self, ended: EndedJob, _: &mut Context<Self, ()>) {
-        self.board.on_ended(ended.0);
+        self.scheduler.on_ended(ended.0);
     }
 }
 
@@ -194,7 +198,7 @@
     }
 
     fn run(&self, job: JobId, claim: LogPosition, work: Arc<dyn JobWork>) {
-        let Some(entry) = self.board.fold().get(job) else {
+        let Some(entry) = self.scheduler.fold().get(job) else {
             return;
         };
         let run = JobRun {
@@ -287,7 +291,7 @@
     type Reply = Option<JobStatus>;
 
     async fn handle(&mut self, ask: AskJob, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let fold = self.board.fold();
+        let fold = self.scheduler.fold();
         let entry = fold.get(ask.0)?;
         let now_ms = self.sources.clock.unix_ms();
         let rate = WorkRate::measured(fold, now_ms, RATE_WINDOW_MS);
@@ -307,6 +311,6 @@
     type Reply = bool;
 
     async fn handle(&mut self, _: AskRoom, _: &mut Context<Self, bool>) -> bool {
-        !self.board.fold().is_full()
+        !self.scheduler.fold().is_full()
     }
 }
--- a/marigoldlock_core/src/authority/process.rs
+++ b/marigoldlock_core/src/authority/process.rs
@@ -7,9 +7,9 @@
 use marigoldlock_wire::record::authority::{AuthorityRecord, ControlRecord, Duty, HolderId};
 
 use super::{ControlChange, ControlFold, DutyAuthority, DutyHolder, Fault, LeaseTiming};
-use crate::orders::{OrderDesk, OrderEffect, OrderTiming};
+use crate::orders::{OrderDispatcher, OrderEffect, OrderTiming};
 use crate::prelude::*;
-use crate::usage::{SendReport, UsageDesk, UsageTiming};
+use crate::usage::{SendReport, UsageReporter, UsageTiming};
 
 /// What the process knows besides the log.
 pub struct ControlView<'a> {
@@ -41,8 +41,8 @@
 pub struct ControlProcess {
     fold: ControlFold,
     holder: DutyHolder,
-    orders: OrderDesk,
-    usage: UsageDesk,
+    orders: OrderDispatcher,
+    usage: UsageReporter,
 }
 
 impl ControlProcess {
@@ -51,8 +51,8 @@
         Self {
             fold,
             holder: DutyHolder::new(me.clone(), timing.lease),
-            orders: OrderDesk::new(me.clone(), timing.orders),
-            usage: UsageDesk::new(me, timing.usage),
+            orders: OrderDispatcher::new(me.clone(), timing.orders),
+            usage: UsageReporter::new(me, timing.usage),
         }
     }
 
@@ -82,22 +82,22 @@
     }
 
     /// Orders.
-    pub fn orders(&self) -> &OrderDesk {
+    pub fn orders(&self) -> &OrderDispatcher {
         &self.orders
     }
 
     /// Orders, to ask for one or to tell what became of one.
-    pub fn orders_mut(&mut self) -> &mut OrderDesk {
+    pub fn orders_mut(&mut self) -> &mut OrderDispatcher {
         &mut self.orders
     }
 
     /// Usage.
-    pub fn usage(&self) -> &UsageDesk {
+    pub fn usage(&self) -> &UsageReporter {
         &self.usage
     }
 
     /// Usage, to count or to tell what became of a report.
-    pub fn usage_mut(&mut self) -> &mut UsageDesk {
+    pub fn usage_mut(&mut self) -> &mut UsageReporter {
         &mut self.usage
     }
 
--- a/marigoldlock_core/src/jobs/board.rs
+++ b/marigoldlock_core/src/jobs/scheduler.rs
@@ -13,7 +13,7 @@
 
 /// Bounds of an instance's part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct BoardLimits {
+pub struct SchedulerLimits {
     /// Jobs that the instance runs side by side.
     pub running: usize,
     /// Age of a record after which it is appended again, in milliseconds; well below the log's retention.
@@ -24,7 +24,7 @@
     pub claim_pause_ms: u64,
 }
 
-impl Default for BoardLimits {
+impl Default for SchedulerLimits {
     fn default() -> Self {
         Self {
             running: 4,
@@ -58,9 +58,9 @@
 
 /// One instance's view of the jobs and its own part in them.
 #[derive(Debug)]
-pub struct JobBoard {
+pub struct JobScheduler {
     own: Incarnation,
-    limits: BoardLimits,
+    limits: SchedulerLimits,
     fold: JobFold,
     running: FastMap<JobId, LogPosition>,
     /// When a claim on the job was last appended, in milliseconds since the Unix epoch.
@@ -69,9 +69,9 @@
     refreshed: FastMap<JobId, u64>,
 }
 
-impl JobBoard {
-    /// The board of an instance that has read nothing yet.
-    pub fn new(own: Incarnation, limits: BoardLimits, jobs: JobLimits) -> Self {
+impl JobScheduler {
+    /// The scheduler of an instance that has read nothing yet.
+    pub fn new(own: Incarnation, limits: SchedulerLimits, jobs: JobLimits) -> Self {
         Self {
             own,
             limits,
--- a/marigoldlock_core/src/jobs/tests.rs
+++ b/marigoldlock_core/src/jobs/tests.rs
@@ -21,8 +21,8 @@
     }
 }
 
-fn board(own: u64) -> JobBoard {
-    JobBoard::new(Incarnation(own), BoardLimits::default(), JobLimits::default())
+fn scheduler(own: u64) -> JobScheduler {
+    JobScheduler::new(Incarnation(own), SchedulerLimits::default(), JobLimits::default())
 }
 
 fn alive(incarnations: &[u64]) -> FastSet<Incarnation> {
@@ -43,9 +43,9 @@
         records.into_iter().for_each(|record| self.append(writer, record));
     }
 
-    fn read_into(&self, board: &mut JobBoard, from: usize) {
+    fn read_into(&self, scheduler: &mut JobScheduler, from: usize) {
         for (offset, (writer, record)) in self.records.iter().enumerate().skip(from) {
-            board.on_record(LogPosition::new(offset as u64, 0), *writer, record);
+            scheduler.on_record(LogPosition::new(offset as u64, 0), *writer, record);
         }
     }
 }
@@ -61,13 +61,13 @@
     let data = Bytes::from(vec![b'x'; 2 * JOB_PART_BYTES + 1]);
     log.append_all(9, input_records(JOB, &head(9_000), &data).unwrap());
     let last = log.records.pop().unwrap();
-    let mut board = board(1);
-    log.read_into(&mut board, 0);
-    assert!(board.fold().get(JOB).is_none());
-    assert_eq!(board.next_steps(1_000, &alive(&[1])), []);
+    let mut scheduler = scheduler(1);
+    log.read_into(&mut scheduler, 0);
+    assert!(scheduler.fold().get(JOB).is_none());
+    assert_eq!(scheduler.next_steps(1_000, &alive(&[1])), []);
     log.records.push(last);
-    log.read_into(&mut board, 2);
-    let entry = board.fold().get(JOB).unwrap();
+    log.read_into(&mut scheduler, 2);
+    let entry = scheduler.fold().get(JOB).unwrap();
     assert_eq!(entry.input.whole().unwrap().len(), 3);
     for (_, record) in &log.records {
         let bytes = marigoldlock_wire::codec::encode(record).len();
@@ -86,9 +86,9 @@
         ..head(9_000)
     };
     log.append_all(9, input_records(JOB, &other, &Bytes::from_static(b"[]")).unwrap());
-    let mut board = board(1);
-    log.read_into(&mut board, 0);
-    let entry = board.fold().get(JOB).unwrap();
+    let mut scheduler = scheduler(1);
+    log.read_into(&mut scheduler, 0);
+    let entry = scheduler.fold().get(JOB).unwrap();
     assert_eq!(entry.input.whole().unwrap(), [LogPosition::new(0, 0)]);
 }
 
@@ -96,12 +96,12 @@
 fn of_two_claims_the_first_in_log_order_holds_the_job() {
     let mut log = Log::default();
     accepted(&mut log, JOB, 9_000);
-    let (mut a, mut b) = (board(1), board(2));
+    let (mut a, mut b) = (scheduler(1), scheduler(2));
     log.read_into(&mut a, 0);
     log.read_into(&mut b, 0);
     // Both believe themselves alone.
-    for (own, board) in [(1, &mut a), (2, &mut b)] {
-        let steps = board.next_steps(1_000, &alive(&[own]));
+    for (own, scheduler) in [(1, &mut a), (2, &mut b)] {
+        let steps = scheduler.next_steps(1_000, &alive(&[own]));
         let [JobStep::Claim(claim)] = steps[..] else {
             panic!("{steps:?}");
         };
@@ -122,14 +122,14 @@
 fn another_takes_over_when_the_holder_ended_and_the_first_whole_result_wins() {
     let mut log = Log::default();
     accepted(&mut log, JOB, 90_000);
-    let mut a = board(1);
+    let mut a = scheduler(1);
     log.read_into(&mut a, 0);
     let steps = a.next_steps(1_000, &alive(&[1]));
     let [JobStep::Claim(claim)] = steps[..] else {
         panic!("{steps:?}");
     };
     log.append(1, JobRecord::Claim(claim));
-    let mut b = board(2);
+    let mut b = scheduler(2);
     log.read_into(&mut b, 0);
     assert_eq!(b.next_steps(2_000, &alive(&[1, 2])), [], "the holder lives");
     let steps = b.next_steps(2_000, &alive(&[2]));
@@ -146,7 +146,7 @@
     };
     log.append_all(2, result(second, "b"));
     log.append_all(1, result(first, "a"));
-    let mut c = board(3);
+    let mut c = scheduler(3);
     log.read_into(&mut c, 0);
     let entry = c.fold().get(JOB).unwrap();
     assert!(matches!(entry.state, JobState::Finished { claim, .. } if claim == second));
@@ -167,9 +167,9 @@
     ] {
         accepted(&mut log, JobId(job), deadline);
     }
-    let mut board = board(1);
-    log.read_into(&mut board, 0);
-    let claimed: Vec<u128> = board
+    let mut scheduler = scheduler(1);
+    log.read_into(&mut scheduler, 0);
+    let claimed: Vec<u128> = scheduler
         .next_steps(1_000, &alive(&[1]))
         .into_iter()
         .filter_map(|step| match step {
@@ -187,9 +187,9 @@
     let all = [1, 2, 3, 4];
     let steps_at = |now_ms| {
         let acting = all.iter().filter(|own| {
-            let mut board = board(**own);
-            log.read_into(&mut board, 0);
-            !board.next_steps(now_ms, &alive(&all)).is_empty()
+            let mut scheduler = scheduler(**own);
+            log.read_into(&mut scheduler, 0);
+            !scheduler.next_steps(now_ms, &alive(&all)).is_empty()
         });
         acting.count()
     };
@@ -206,13 +206,13 @@
 fn live_records_are_appended_again_before_they_expire_and_old_results_are_not() {
     let mut log = Log::default();
     accepted(&mut log, JOB, 900_000_000);
-    let mut board = board(1);
-    log.read_into(&mut board, 0);
-    let claimed = board.next_steps(1_000, &alive(&[1]));
+    let mut scheduler = scheduler(1);
+    log.read_into(&mut scheduler, 0);
+    let claimed = scheduler.next_steps(1_000, &alive(&[1]));
     assert!(matches!(claimed[..], [JobStep::Claim(_)]));
-    let limits = BoardLimits::default();
+    let limits = SchedulerLimits::default();
     let later = 1_000 + limits.refresh_after_ms;
-    let steps = board.next_steps(later, &alive(&[1]));
+    let steps = scheduler.next_steps(later, &alive(&[1]));
     let refresh = JobStep::Refresh {
         job: JOB,
         places: vec![LogPosition::new(0, 0)],
@@ -223,9 +223,9 @@
     };
     copy.written_ms = later;
     log.append(1, JobRecord::Input(copy));
-    log.read_into(&mut board, 1);
-    board.expire(1);
-    assert!(board.fold().get(JOB).is_some(), "its newest copy is kept");
+    log.read_into(&mut scheduler, 1);
+    scheduler.expire(1);
+    assert!(scheduler.fold().get(JOB).is_some(), "its newest copy is kept");
     let done = result_records(
         JOB,
         LogPosition::new(5, 0),
@@ -235,15 +235,15 @@
     )
     .unwrap();
     log.append_all(1, done);
-    log.read_into(&mut board, 2);
+    log.read_into(&mut scheduler, 2);
     let kept = later + limits.refresh_after_ms;
     let is_refreshed = |steps: Vec<JobStep>| steps.iter().any(|step| matches!(step, JobStep::Refresh { .. }));
-    assert!(is_refreshed(board.next_steps(kept, &alive(&[1]))));
+    assert!(is_refreshed(scheduler.next_steps(kept, &alive(&[1]))));
     assert!(!is_refreshed(
-        board.next_steps(later + limits.keep_result_ms, &alive(&[1]))
+        scheduler.next_steps(later + limits.keep_result_ms, &alive(&[1]))
     ));
-    board.expire(3);
-    assert!(board.fold().get(JOB).is_none());
+    scheduler.expire(3);
+    assert!(scheduler.fold().get(JOB).is_none());
 }
 
 #[test]
@@ -251,11 +251,11 @@
     let mut log = Log::default();
     accepted(&mut log, JobId(1), 20_000);
     accepted(&mut log, JobId(2), 10_000);
-    let mut board = board(1);
-    log.read_into(&mut board, 0);
+    let mut scheduler = scheduler(1);
+    log.read_into(&mut scheduler, 0);
     let outlook = |job, rate, now| {
         let rate = WorkRate { tokens_per_s: rate };
-        deadline_outlook(board.fold(), JobId(job), rate, now)
+        deadline_outlook(scheduler.fold(), JobId(job), rate, now)
     };
     assert_eq!(outlook(2, 100.0, 5_000), DeadlineOutlook::Expected);
     assert_eq!(outlook(1, 100.0, 5_000), DeadlineOutlook::Expected);
--- a/marigoldlock_core/src/orders/desk.rs
+++ b/marigoldlock_core/src/orders/dispatcher.rs
@@ -134,7 +134,7 @@
 
 /// The part of one process in its duties' orders.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct OrderDesk {
+pub struct OrderDispatcher {
     me: HolderId,
     timing: OrderTiming,
     wishes: Vec<(Duty, OrderBody)>,
@@ -142,8 +142,8 @@
     fault: Option<Fault>,
 }
 
-impl OrderDesk {
-    /// A desk without orders.
+impl OrderDispatcher {
+    /// A dispatcher without orders.
     pub fn new(me: HolderId, timing: OrderTiming) -> Self {
         Self {
             me,
--- a/marigoldlock_core/src/orders/tests.rs
+++ b/marigoldlock_core/src/orders/tests.rs
@@ -15,13 +15,13 @@
     let duty = marigoldlock_wire::record::authority::Duty::Orders {
         data_centre: "pest-a".into(),
     };
-    let mut desk = OrderDesk::new(me, OrderTiming::default());
+    let mut dispatcher = OrderDispatcher::new(me, OrderTiming::default());
     let body = |action| OrderBody::Engine {
         upstream: "e1".into(),
         checks_fence: true,
         action,
     };
-    desk.wish(duty.clone(), body(EngineAction::Drain));
-    desk.wish(duty, body(EngineAction::Undrain));
-    assert_eq!(desk.wishes(), 1);
+    dispatcher.wish(duty.clone(), body(EngineAction::Drain));
+    dispatcher.wish(duty, body(EngineAction::Undrain));
+    assert_eq!(dispatcher.wishes(), 1);
 }
--- a/marigoldlock_core/src/usage/mod.rs
+++ b/marigoldlock_core/src/usage/mod.rs
@@ -6,12 +6,12 @@
 //! then is the figure reported, and every repeat reports the same.
 
 mod count;
-mod desk;
 mod ledger;
+mod reporter;
 
 #[cfg(test)]
 mod tests;
 
 pub use count::{USAGE_SHARDS, UsageCounts, add_figures, max_figures, shard_of, subtract_figures};
-pub use desk::{SendReport, UsageDesk, UsageTiming};
 pub use ledger::{FrozenWindow, LATE_WINDOWS, UsageLedger};
+pub use reporter::{SendReport, UsageReporter, UsageTiming};
--- a/marigoldlock_core/src/usage/desk.rs
+++ b/marigoldlock_core/src/usage/reporter.rs
@@ -55,7 +55,7 @@
 
 /// The part of one process in the usage duties.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct UsageDesk {
+pub struct UsageReporter {
     me: HolderId,
     timing: UsageTiming,
     counts: UsageCounts,
@@ -65,8 +65,8 @@
     fault: Option<Fault>,
 }
 
-impl UsageDesk {
-    /// A desk without counts.
+impl UsageReporter {
+    /// A reporter without counts.
     pub fn new(me: HolderId, timing: UsageTiming) -> Self {
         let counts = UsageCounts::new(me.clone());
         Self {
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -12,6 +12,9 @@
 mod proxy;
 mod record;
 
+#[cfg(test)]
+mod tests;
+
 use std::path::PathBuf;
 use std::time::Duration;
 
