Read the store in person when the other instances know more and don't tell it

Cause: read-through. An instance that hears six fresh followers doesn't read the store; where heartbeats pass and questions don't (a silent or refused connection to all that know more) it stayed behind for as long as that lasted. Ruled out: pushing changes in heartbeats (a listing is larger than a datagram). Change: after a second behind, an instance follows the store itself. The difference of two listings is a type of its own. Test: an_instance_whose_questions_nobody_answers_reads_the_store_itself (without the change: timed out after 30 s).

--- a/marigoldlock/src/gateway/catch_up.rs
+++ b/marigoldlock/src/gateway/catch_up.rs
@@ -35,6 +35,10 @@
 /// dropped records, followers find some changes late.
 const DIFFER_PATIENCE: Duration = Duration::from_millis(500);
 
+/// Time for which an instance may stay behind before it reads the store itself: heartbeats may pass where questions
+/// don't.
+const BEHIND_MOST: Duration = Duration::from_millis(1_000);
+
 /// Largest answer, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
 
@@ -74,14 +78,28 @@
     /// Connection to the instance that was asked last.
     link: Option<(SocketAddr, LinkSender)>,
     behind_since: Option<MonoTime>,
-    /// Digest that another instance has at the same offset, and since when it differs.
-    differs: Option<(u64, MonoTime)>,
+    difference: Option<ListingDifference>,
+}
+
+/// Another instance's listing that differs at the same offset.
+struct ListingDifference {
+    digest: u64,
+    since: MonoTime,
+    /// True once the whole listing was asked for: the other may be the one that has missed something.
+    is_asked: bool,
 }
 
 impl ChangeAsker {
     async fn look(&mut self, gateway: &Gateway) {
         let now = gateway.now();
-        let Some((address, question)) = self.next_question(gateway, now) else {
+        let question = self.next_question(gateway, now);
+        let is_stuck = self
+            .behind_since
+            .is_some_and(|since| now.since(since) >= BEHIND_MOST);
+        if std::mem::replace(&mut gateway.state().is_stuck, is_stuck) != is_stuck {
+            log::info!(is_stuck; "being behind the other instances has lasted or ended");
+        }
+        let Some((address, question)) = question else {
             return;
         };
         match tokio::time::timeout(ASK_TIMEOUT, self.ask(address, question)).await {
@@ -152,25 +170,26 @@
                 && knowledge.upstreams_digest != own.upstreams_digest
         });
         let Some(other) = other else {
-            self.differs = None;
+            self.difference = None;
             return None;
         };
         let digest = other.report.knowledge.upstreams_digest;
-        match self.differs {
-            Some((known, since)) if known == digest => {
-                if now.since(since) < DIFFER_PATIENCE {
-                    return None;
-                }
-                // Asked once for each digest: the other may be the one that has missed something.
-                self.differs = Some((digest, now + Duration::from_secs(3_600)));
+        match &mut self.difference {
+            Some(known) if known.digest == digest => {
+                let is_due = !known.is_asked && now.since(known.since) >= DIFFER_PATIENCE;
+                known.is_asked |= is_due;
                 let question = ChangeQuestion {
                     settings_version: own.settings_version,
                     upstreams_from: 0,
                 };
-                Some((other.card().peer, question))
+                is_due.then(|| (other.card().peer, question))
             }
             _ => {
-                self.differs = Some((digest, now));
+                self.difference = Some(ListingDifference {
+                    digest,
+                    since: now,
+                    is_asked: false,
+                });
                 None
             }
         }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -71,6 +71,8 @@
     pub store_answer_at: Option<MonoTime>,
     /// Last return of the store; `None` before the first loss.
     pub store_back: Option<MonoTime>,
+    /// True while the other instances know more and don't tell it.
+    pub is_stuck: bool,
     /// False while calls to the store fail.
     pub store_reached: bool,
 }
@@ -138,7 +140,7 @@
     /// True if this instance reads the store itself.
     pub fn is_follower(&self, own: &MemberCard, now: MonoTime) -> bool {
         let members = &self.members;
-        FleetView { own, members, now }.is_follower()
+        self.is_stuck || FleetView { own, members, now }.is_follower()
     }
 
     /// Last return of the store, as this instance or another saw it.
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 
 use marigoldlock::platform_run::SettingsWatch;
+use marigoldlock_core::gateway::members::{
+    Heartbeat, KnowledgeMark, MemberCard, MemberReport, MemberStage, StoreContact,
+};
+use marigoldlock_core::prelude::*;
 use marigoldlock_platform::ProcessSettings;
 use marigoldlock_standin::site::{SITE_HOST, SITE_KEY, instance_file, site_settings};
 use platform_support::{Site, event_ids, until};
@@ -596,3 +600,65 @@
     std::fs::remove_file(&path).unwrap();
     assert_eq!(site.send(0, "/look/x", "l1").await.status(), 200);
 }
+
+/// Six instances that say they follow the store and know more, and answer no question.
+async fn pretend_followers(target: std::net::SocketAddr) {
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = closed.local_addr().unwrap();
+    drop(closed);
+    for sequence in 1.. {
+        for number in 0..6 {
+            let report = MemberReport {
+                card: MemberCard {
+                    id: InstanceId::from(format!("pretended{number}")),
+                    incarnation: Incarnation(number),
+                    front: peer,
+                    peer,
+                    data_centre: DataCentre::from("a"),
+                    weight: 900,
+                },
+                sequence,
+                stage: MemberStage::Ready,
+                knowledge: KnowledgeMark {
+                    settings_version: 1_000,
+                    ..KnowledgeMark::default()
+                },
+                store: StoreContact {
+                    answer_age_ms: Some(10),
+                    back_age_ms: None,
+                },
+                duty_fence: None,
+                changing: Vec::new(),
+                work: Vec::new(),
+                unreachable: Vec::new(),
+            };
+            let beat = Heartbeat {
+                unix_ms: 0,
+                is_answer: false,
+                own: report,
+                forwarded: Vec::new(),
+                usage: Vec::new(),
+            };
+            let mut bytes = vec![2];
+            bincode::serde::encode_into_std_write(&beat, &mut bytes, bincode::config::standard()).unwrap();
+            socket.send_to(&bytes, target).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_instance_whose_questions_nobody_answers_reads_the_store_itself() {
+    let site = Site::start(1).await;
+    let pretending = tokio::spawn(pretend_followers(site.instances[0].addresses().peer));
+    until("they are heard", || site.instances[0].live_members() == 6).await;
+    // Its last long polls hear nothing, so that only a new call finds the change.
+    site.store.set_faults(|faults| faults.deaf_waits = true);
+    site.store.put_settings(&site_settings(50));
+    until("the change is in force", || {
+        site.instances[0].settings_version() == 50
+    })
+    .await;
+    pretending.abort();
+}
