Split heartbeats that a relay of a large fleet passes on; take a reader's queue in one place

Cause: read-through. Above about 460 instances a relay's heartbeat would have passed the largest datagram and not been sent at all; the queue and rate of a reader were looked up twice in the same words. Ruled out: a fixed number of reports a datagram (their size differs with the work told). Change: above 30 KB the reports are spread over several datagrams, each of which can be read alone; the usage goes once. Test: heartbeats_of_a_relay_in_a_fleet_of_the_targets_size_are_split (1,500 reports; 72 still fit into one).

--- a/marigoldlock/src/gateway/peers.rs
+++ b/marigoldlock/src/gateway/peers.rs
@@ -2,9 +2,11 @@
 //!
 //! Who gets them is decided in `marigoldlock_core::gateway::exchange`.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use marigoldlock_core::gateway::exchange::{FleetView, interval};
 use marigoldlock_core::gateway::members::{
     Heartbeat, MemberReport, ReportPath, StoreContact, ToldWork, age_ms,
@@ -19,9 +21,12 @@
 use super::state::GatewayState;
 use super::{Gateway, codec};
 
-/// Largest datagram, in bytes.
+/// Largest datagram, in bytes: UDP carries a little more.
 const DATAGRAM_MOST: usize = 60 << 10;
 
+/// Size of a heartbeat above which the reports that it passes on are spread over several, in bytes.
+const DATAGRAM_GOAL: usize = 30 << 10;
+
 /// Upstreams whose work a heartbeat tells, so that it stays within a few packets.
 const WORK_TOLD: usize = 64;
 
@@ -114,18 +119,43 @@
     }
 }
 
-async fn send_beat(socket: &UdpSocket, beat: &Heartbeat, addresses: &[std::net::SocketAddr]) {
+async fn send_beat(socket: &UdpSocket, beat: &Heartbeat, addresses: &[SocketAddr]) {
     if addresses.is_empty() {
         return;
     }
-    let bytes = match codec::encode(beat) {
-        Ok(bytes) if bytes.len() <= DATAGRAM_MOST => bytes,
-        Ok(bytes) => return log::error!(bytes = bytes.len(); "a heartbeat is too large; not sent"),
-        Err(err) => return log::error!(error:% = err; "a heartbeat can't be written"),
-    };
-    for address in addresses {
-        if let Err(err) = socket.send_to(&bytes, address).await {
-            log::debug!(peer:% = address, error:% = err; "heartbeat not sent");
+    for bytes in datagrams(beat) {
+        for address in addresses {
+            if let Err(err) = socket.send_to(&bytes, address).await {
+                log::debug!(peer:% = address, error:% = err; "heartbeat not sent");
+            }
+        }
+    }
+}
+
+/// A heartbeat as datagrams, each of which can be read alone.
+pub fn datagrams(beat: &Heartbeat) -> Vec<Bytes> {
+    match codec::encode(beat) {
+        Ok(bytes) if bytes.len() > DATAGRAM_GOAL && beat.forwarded.len() > 1 => {
+            let (first, second) = beat.forwarded.split_at(beat.forwarded.len() / 2);
+            let part = |forwarded: &[MemberReport], usage: &[WindowCounts]| Heartbeat {
+                unix_ms: beat.unix_ms,
+                is_answer: beat.is_answer,
+                own: beat.own.clone(),
+                forwarded: forwarded.to_vec(),
+                usage: usage.to_vec(),
+            };
+            let mut parts = datagrams(&part(first, &beat.usage));
+            parts.extend(datagrams(&part(second, &[])));
+            parts
+        }
+        Ok(bytes) if bytes.len() <= DATAGRAM_MOST => vec![bytes],
+        Ok(bytes) => {
+            log::error!(bytes = bytes.len(); "a heartbeat is too large; not sent");
+            Vec::new()
+        }
+        Err(err) => {
+            log::error!(error:% = err; "a heartbeat can't be written");
+            Vec::new()
         }
     }
 }
--- a/marigoldlock/src/gateway/reading.rs
+++ b/marigoldlock/src/gateway/reading.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigoldlock_core::gateway::admission::come_back;
+use marigoldlock_core::gateway::admission::{ReadRate, come_back};
 use marigoldlock_core::gateway::choice::pick_reader;
 use marigoldlock_core::gateway::outcome::AttemptFailure;
 use marigoldlock_core::gateway::prelude::*;
@@ -125,18 +125,23 @@
 /// Longest wait for a reading: several times what the reader's queue should take. A reader that fell silent would
 /// hold the request until its connection is given up.
 fn read_patience(call: &Call, entry: &UpstreamEntry, unread: u64) -> Duration {
+    let (queued, rate) = queue_at(call, entry);
+    let time_left = call.time_left();
+    match rate.known_time_for(queued + unread) {
+        Some(expected) => time_left.min(READ_PATIENCE_LEAST + expected * READ_PATIENCE_FACTOR),
+        None => time_left,
+    }
+}
+
+/// Prompt tokens that wait at a reader, and the rate at which the service's readers read.
+fn queue_at(call: &Call, entry: &UpstreamEntry) -> (u64, ReadRate) {
     let state = call.gateway.state();
     let queued = state
         .upstreams
         .get(&entry.id)
         .map_or(0, UpstreamState::reading_tokens);
     let rate = state.rates.get(&call.service).copied().unwrap_or_default();
-    drop(state);
-    let time_left = call.time_left();
-    match rate.known_time_for(queued + unread) {
-        Some(expected) => time_left.min(READ_PATIENCE_LEAST + expected * READ_PATIENCE_FACTOR),
-        None => time_left,
-    }
+    (queued, rate)
 }
 
 /// Waits until the upstream that should read the prompt has room; gives up early only if `may_refuse`.
@@ -174,12 +179,7 @@
 /// only the time that it has waited counts: part of the queue stands behind it.
 fn come_back_after(call: &Call, entry: &UpstreamEntry, unread: u64, is_new: bool) -> Option<Duration> {
     let waited = call.gateway.now().since(call.arrived);
-    let state = call.gateway.state();
-    let queued = state
-        .upstreams
-        .get(&entry.id)
-        .map_or(0, UpstreamState::reading_tokens);
-    let rate = state.rates.get(&call.service).copied().unwrap_or_default();
+    let (queued, rate) = queue_at(call, entry);
     let ahead = if is_new { queued + unread } else { unread };
     let expected = rate.time_for(ahead);
     let after = come_back(waited, expected, call.route.target_latency)?;
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -4,8 +4,15 @@
 
 use tokio::time::Instant;
 
+use marigoldlock_core::gateway::members::{
+    Heartbeat, KnowledgeMark, MemberCard, MemberReport, MemberStage, StoreContact,
+};
+use marigoldlock_core::gateway::windows::WindowCounts;
+use marigoldlock_core::prelude::*;
+
 use super::codec;
 use super::cursor::{FollowCursor, NextCall, poll_wait};
+use super::peers::datagrams;
 
 const WAIT: Duration = Duration::from_secs(10);
 
@@ -89,3 +96,50 @@
     assert!(codec::decode::<Vec<u8>>(&huge).is_err());
     assert!(codec::decode::<Vec<(String, u64)>>(&huge).is_err());
 }
+
+fn report(number: usize) -> MemberReport {
+    MemberReport {
+        card: MemberCard {
+            id: InstanceId::from(format!("edge-{number}")),
+            incarnation: Incarnation(u64::MAX),
+            front: "10.0.0.1:8443".parse().unwrap(),
+            peer: "10.0.0.1:7780".parse().unwrap(),
+            data_centre: DataCentre::from("santiago-a"),
+            weight: 12,
+        },
+        sequence: 1_000_000,
+        stage: MemberStage::Ready,
+        knowledge: KnowledgeMark::default(),
+        store: StoreContact::default(),
+        duty_fence: None,
+        changing: Vec::new(),
+        work: Vec::new(),
+        unreachable: Vec::new(),
+    }
+}
+
+#[test]
+fn heartbeats_of_a_relay_in_a_fleet_of_the_targets_size_are_split() {
+    let beat = Heartbeat {
+        unix_ms: 1_767_252_734_991,
+        is_answer: false,
+        own: report(0),
+        forwarded: (1..1_500).map(report).collect(),
+        usage: vec![WindowCounts {
+            window: 7,
+            counts: vec![(CustomerId::from("acme"), 3)],
+        }],
+    };
+    let parts = datagrams(&beat);
+    assert!(parts.len() > 1);
+    assert!(parts.iter().all(|bytes| bytes.len() < 64 << 10));
+    let read: Vec<Heartbeat> = parts.iter().map(|bytes| codec::decode(bytes).unwrap()).collect();
+    let forwarded: Vec<MemberReport> = read.iter().flat_map(|part| part.forwarded.clone()).collect();
+    assert_eq!(forwarded, beat.forwarded);
+    assert_eq!(read.iter().filter(|part| part.usage == beat.usage).count(), 1);
+    let small = Heartbeat {
+        forwarded: (1..72).map(report).collect(),
+        ..beat
+    };
+    assert_eq!(datagrams(&small).len(), 1);
+}
