Wait for no reader after the last try; make one constructor and one freshness check serve all

Cause: read-through of the whole change. After the third reader that never got a prompt, the request still waited in a reader's queue for a choice that nobody used; the return of the store was worked out for every record though only removals need it; the succession gave a place of which only the first was asked; reports were written out in four places. Change: those; ranks are hashed once a sort and the ranked list is made once a round. Assertions are as before.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -94,7 +94,6 @@
                 members: &state.members,
                 now,
             };
-            let place = view.succession(state.store_reached);
             let holders = state
                 .members
                 .live(now)
@@ -102,7 +101,7 @@
             (
                 holders.max(),
                 view.is_successor(),
-                place == Some(0),
+                state.store_reached && view.is_first_successor(),
                 state.ledger.next_offset(),
             )
         };
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -259,7 +259,6 @@
     if !state.put_raw(&record.key, raw) {
         return;
     }
-    let store_back = state.store_back(&gateway.parts.card, now);
     let entry = record
         .value
         .as_ref()
@@ -282,7 +281,10 @@
             log::warn!(upstream = record.key, error:% = err; "an upstream's entry can't be read; it gets no work");
             state.catalog.remove(&record.key, now, None)
         }
-        None => state.catalog.remove(&record.key, now, store_back),
+        None => {
+            let store_back = state.store_back(&gateway.parts.card, now);
+            state.catalog.remove(&record.key, now, store_back)
+        }
     };
     if change != CatalogChange::None {
         log::info!(
--- a/marigoldlock/src/gateway/reading.rs
+++ b/marigoldlock/src/gateway/reading.rs
@@ -54,11 +54,11 @@
 /// Has the prompt read by an upstream that reads faster; those that never get the request are passed over.
 pub async fn read_prompt(call: &mut Call, entry: UpstreamEntry, unread: u64) -> Option<HandleGuard> {
     let mut reader = (entry, unread);
-    for _ in 0..READERS_TRIED {
+    for tried in 1.. {
         match read_at(call, &reader.0, reader.1).await {
             ReadOutcome::Read(handle) => return Some(handle),
-            ReadOutcome::Failed => return None,
-            ReadOutcome::NotSent => {}
+            ReadOutcome::NotSent if tried < READERS_TRIED => {}
+            ReadOutcome::NotSent | ReadOutcome::Failed => return None,
         }
         match wait_for_reader(call, false).await {
             ReaderChoice::Reader(entry, unread) => reader = (entry, unread),
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -4,9 +4,7 @@
 
 use tokio::time::Instant;
 
-use marigoldlock_core::gateway::members::{
-    Heartbeat, KnowledgeMark, MemberCard, MemberReport, MemberStage, StoreContact,
-};
+use marigoldlock_core::gateway::members::{Heartbeat, MemberCard, MemberReport, MemberStage};
 use marigoldlock_core::gateway::windows::WindowCounts;
 use marigoldlock_core::prelude::*;
 
@@ -98,23 +96,18 @@
 }
 
 fn report(number: usize) -> MemberReport {
+    let card = MemberCard {
+        id: InstanceId::from(format!("edge-{number}")),
+        incarnation: Incarnation(u64::MAX),
+        front: "10.0.0.1:8443".parse().unwrap(),
+        peer: "10.0.0.1:7780".parse().unwrap(),
+        data_centre: DataCentre::from("santiago-a"),
+        weight: 12,
+    };
     MemberReport {
-        card: MemberCard {
-            id: InstanceId::from(format!("edge-{number}")),
-            incarnation: Incarnation(u64::MAX),
-            front: "10.0.0.1:8443".parse().unwrap(),
-            peer: "10.0.0.1:7780".parse().unwrap(),
-            data_centre: DataCentre::from("santiago-a"),
-            weight: 12,
-        },
         sequence: 1_000_000,
         stage: MemberStage::Ready,
-        knowledge: KnowledgeMark::default(),
-        store: StoreContact::default(),
-        duty_fence: None,
-        changing: Vec::new(),
-        work: Vec::new(),
-        unreachable: Vec::new(),
+        ..MemberReport::new(card)
     }
 }
 
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -92,7 +92,7 @@
     pub fn ranked(&self) -> Vec<&'a MemberCard> {
         let others = self.members.live(self.now).map(MemberState::card);
         let mut cards: Vec<&MemberCard> = others.chain([self.own]).collect();
-        cards.sort_by_key(|card| rank(card));
+        cards.sort_by_cached_key(|card| rank(card));
         cards
     }
 
@@ -119,7 +119,7 @@
         let is_telling = round.is_multiple_of(KEEPER_ROUNDS);
         let mut targets = RoundTargets {
             is_relay,
-            keepers: self.usage_keepers(),
+            keepers: self.usage_keepers(&ranked),
             ..RoundTargets::default()
         };
         for member in self.members.all() {
@@ -152,13 +152,13 @@
     }
 
     /// Instances that keep the usage counts: the holder of the duties, and the first in rank, who succeed it.
-    fn usage_keepers(&self) -> FastSet<SocketAddr> {
+    fn usage_keepers(&self, ranked: &[&MemberCard]) -> FastSet<SocketAddr> {
         let holders = self
             .members
             .live(self.now)
             .filter(|member| member.report.duty_fence.is_some())
             .map(MemberState::card);
-        let others = self.ranked().into_iter().filter(|card| card.id != self.own.id);
+        let others = ranked.iter().copied().filter(|card| card.id != self.own.id);
         holders
             .chain(others.take(USAGE_COPIES))
             .map(|card| card.peer)
@@ -172,11 +172,10 @@
         let mut before = 0;
         let mut newest: Option<MonoTime> = None;
         for member in self.members.live(self.now) {
-            let answer_at = member.store_answer_at();
-            newest = newest.max(answer_at);
+            newest = newest.max(member.store_answer_at());
             if rank(member.card()) < own_rank {
                 before += 1;
-                fresh += usize::from(answer_at.is_some_and(|at| self.now.since(at) < ANSWER_FRESH));
+                fresh += usize::from(self.has_fresh_answer(member));
             }
         }
         if fresh >= FOLLOWERS {
@@ -188,27 +187,30 @@
         newest.is_none() || before < FOLLOWERS * 2 * usize::try_from(waves.max(1)).unwrap_or(usize::MAX)
     }
 
-    /// Place of this instance among those that could take the duties at once: they serve and reach the store, as
-    /// this one does if `is_reached`. `None` if it isn't one of them.
-    pub fn succession(&self, is_reached: bool) -> Option<usize> {
-        if !is_reached {
-            return None;
-        }
+    fn has_fresh_answer(&self, member: &MemberState) -> bool {
+        member
+            .store_answer_at()
+            .is_some_and(|at| self.now.since(at) < ANSWER_FRESH)
+    }
+
+    /// True if no instance before this one in rank could take the duties at once: none that serves and reaches the
+    /// store.
+    pub fn is_first_successor(&self) -> bool {
         let own_rank = rank(self.own);
-        let before = self.members.live(self.now).filter(|member| {
+        !self.members.live(self.now).any(|member| {
             member.report.stage == MemberStage::Ready
                 && rank(member.card()) < own_rank
-                && member
-                    .store_answer_at()
-                    .is_some_and(|at| self.now.since(at) < ANSWER_FRESH)
-        });
-        Some(before.count())
+                && self.has_fresh_answer(member)
+        })
     }
 
     /// True if this instance is among the first in rank, one of which succeeds a lost holder of the duties.
     pub fn is_successor(&self) -> bool {
-        let first = self.ranked().into_iter().take(USAGE_COPIES);
-        first.into_iter().any(|card| card.id == self.own.id)
+        let ranked = self.ranked();
+        ranked
+            .iter()
+            .take(USAGE_COPIES)
+            .any(|card| card.id == self.own.id)
     }
 
     /// Place of this instance among those that may follow the store, and their number.
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -115,6 +115,23 @@
     pub unreachable: Vec<UpstreamKey>,
 }
 
+impl MemberReport {
+    /// Report of an instance that knows nothing yet.
+    pub fn new(card: MemberCard) -> Self {
+        Self {
+            card,
+            sequence: 0,
+            stage: MemberStage::Starting,
+            knowledge: KnowledgeMark::default(),
+            store: StoreContact::default(),
+            duty_fence: None,
+            changing: Vec::new(),
+            work: Vec::new(),
+            unreachable: Vec::new(),
+        }
+    }
+}
+
 /// Heartbeat between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -200,17 +217,7 @@
     pub fn learn(&mut self, card: MemberCard, now: MonoTime) {
         let id = card.id.clone();
         self.members.entry(id).or_insert_with(|| MemberState {
-            report: MemberReport {
-                card,
-                sequence: 0,
-                stage: MemberStage::Starting,
-                knowledge: KnowledgeMark::default(),
-                store: StoreContact::default(),
-                duty_fence: None,
-                changing: Vec::new(),
-                work: Vec::new(),
-                unreachable: Vec::new(),
-            },
+            report: MemberReport::new(card),
             reported_at: None,
             direct_at: None,
             known_at: now,
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -6,9 +6,7 @@
 
 use super::at;
 use crate::gateway::exchange::{FleetView, interval};
-use crate::gateway::members::{
-    KnowledgeMark, MemberCard, MemberReport, MemberStage, MemberTable, ReportPath, StoreContact,
-};
+use crate::gateway::members::{MemberCard, MemberReport, MemberStage, MemberTable, ReportPath, StoreContact};
 use crate::time::MonoTime;
 
 fn card(number: usize, sites: usize, weight: u32) -> MemberCard {
@@ -77,18 +75,14 @@
     fn report(&self, number: usize) -> MemberReport {
         let node = &self.nodes[number];
         MemberReport {
-            card: node.card.clone(),
             sequence: node.sequence,
             stage: MemberStage::Ready,
-            knowledge: KnowledgeMark::default(),
             store: StoreContact {
                 answer_age_ms: node.answer_age_ms,
                 back_age_ms: None,
             },
             duty_fence: node.duty_fence,
-            changing: Vec::new(),
-            work: Vec::new(),
-            unreachable: Vec::new(),
+            ..MemberReport::new(node.card.clone())
         }
     }
 
--- a/marigoldlock_core/src/gateway/tests/members.rs
+++ b/marigoldlock_core/src/gateway/tests/members.rs
@@ -4,9 +4,7 @@
 
 use super::at;
 use crate::gateway::clock::TrueClock;
-use crate::gateway::members::{
-    KnowledgeMark, MemberCard, MemberReport, MemberStage, MemberTable, ReportPath, StoreContact,
-};
+use crate::gateway::members::{MemberCard, MemberReport, MemberStage, MemberTable, ReportPath};
 use crate::gateway::windows::{UsageBook, WindowCounts};
 
 fn card(name: &str, data_centre: &str, port: u16) -> MemberCard {
@@ -22,15 +20,9 @@
 
 fn report(card: MemberCard, stage: MemberStage) -> MemberReport {
     MemberReport {
-        card,
         sequence: 1,
         stage,
-        knowledge: KnowledgeMark::default(),
-        store: StoreContact::default(),
-        duty_fence: None,
-        changing: Vec::new(),
-        work: Vec::new(),
-        unreachable: Vec::new(),
+        ..MemberReport::new(card)
     }
 }
 
