Log what the retry budget grants and count requests to upstreams by phase

The logs named each choice of an upstream but not whether the budget had been asked, what it counted and among how many instances it was divided, so the hypotheses could not be told apart. Change: a line 'retry checked against the budget' (requests, retries, allowed, instances), gateway_retries_total{outcome} and gateway_upstream_requests_total{phase}. No decision changes.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -132,6 +132,8 @@
             return Err(AttemptFailure::NotSent);
         }
         let request = self.build_request(entry, plan, time_left);
+        let phase = if plan.is_prefill { "prefill" } else { "run" };
+        metrics::counter!("gateway_upstream_requests_total", "phase" => phase).increment(1);
         let sent = tokio::time::timeout(plan.timeout, sender.try_send_request(request)).await;
         match sent {
             Ok(Ok(response)) => {
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -189,11 +189,19 @@
         let limits = self.gateway.bounds().budget;
         let mut state = self.gateway.state();
         let instances = state.instances();
-        state
-            .retry_budgets
-            .entry(self.service.clone())
-            .or_default()
-            .try_retry(now, &limits, instances)
+        let budget = state.retry_budgets.entry(self.service.clone()).or_default();
+        let is_granted = budget.try_retry(now, &limits, instances);
+        let usage = budget.usage(&limits, instances);
+        drop(state);
+        log::info!(
+            target: DECISION_TARGET,
+            request = self.head.attempt_id, service:% = self.service, granted = is_granted, requests = usage.requests,
+            retries = usage.retries, allowed = usage.allowed, instances;
+            "retry checked against the budget"
+        );
+        let outcome = if is_granted { "granted" } else { "denied" };
+        metrics::counter!("gateway_retries_total", "outcome" => outcome).increment(1);
+        is_granted
     }
 
     /// True if the request may be sent to one more upstream. If that is a retry, it is consumed from the
--- a/marigoldlock_core/src/gateway/budget.rs
+++ b/marigoldlock_core/src/gateway/budget.rs
@@ -24,6 +24,17 @@
 /// upstreams.
 const SAFETY_FACTOR: f64 = 0.8;
 
+/// Use of a budget within the current window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// Requests counted.
+    pub requests: usize,
+    /// Retries granted.
+    pub retries: usize,
+    /// Retries allowed; may be fractional.
+    pub allowed: f64,
+}
+
 /// Requests and retries of one service at this instance.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
@@ -42,14 +53,23 @@
     pub fn try_retry(&mut self, now: MonoTime, limits: &BudgetLimits, instances: usize) -> bool {
         expire(&mut self.requests, now, limits.window);
         expire(&mut self.retries, now, limits.window);
-        let fixed = limits.slack / instances.max(1) as f64;
-        let allowed = SAFETY_FACTOR * (limits.ratio * self.requests.len() as f64 + fixed);
-        if (self.retries.len() + 1) as f64 > allowed {
+        let usage = self.usage(limits, instances);
+        if (usage.retries + 1) as f64 > usage.allowed {
             return false;
         }
         self.retries.push_back(now);
         true
     }
+
+    /// Returns the use of the budget as of the last call that counted or consumed something.
+    pub fn usage(&self, limits: &BudgetLimits, instances: usize) -> BudgetUsage {
+        let fixed = limits.slack / instances.max(1) as f64;
+        BudgetUsage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+            allowed: SAFETY_FACTOR * (limits.ratio * self.requests.len() as f64 + fixed),
+        }
+    }
 }
 
 fn expire(times: &mut VecDeque<MonoTime>, now: MonoTime, window: Duration) {
