--- a/marigoldlock_standin/src/site/mod.rs
+++ b/marigoldlock_standin/src/site/mod.rs
@@ -20,7 +20,9 @@
 };
 pub use self::duties::{AcceptedUsage, DutyStandin, ScaleOrder};
 pub use self::store::{StoreFaults, StoreStandin};
-pub use self::upstream::{EVENTS_PER_STREAM, RunRecord, UpstreamFaults, UpstreamOptions, UpstreamStandin};
+pub use self::upstream::{
+    ArrivalRecord, EVENTS_PER_STREAM, RunRecord, UpstreamFaults, UpstreamOptions, UpstreamStandin,
+};
 
 /// Host name of the site's routes.
 pub const SITE_HOST: &str = "site.example";
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::body::{Body, Bytes};
@@ -68,10 +68,24 @@
     pub body: Bytes,
 }
 
+/// A request that reached an upstream, whether it ran or not.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ArrivalRecord {
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// True if only the prompt was to be processed.
+    pub is_prefill: bool,
+    /// True if the upstream did not refuse the request.
+    pub is_accepted: bool,
+    /// When the request arrived.
+    pub at: Instant,
+}
+
 #[derive(Debug)]
 struct UpstreamState {
     options: UpstreamOptions,
     faults: Mutex<UpstreamFaults>,
+    arrivals: Mutex<Vec<ArrivalRecord>>,
     runs: Mutex<Vec<RunRecord>>,
     orders: Mutex<Vec<Value>>,
 }
@@ -99,6 +113,7 @@
         let state = Arc::new(UpstreamState {
             options,
             faults: Mutex::default(),
+            arrivals: Mutex::default(),
             runs: Mutex::default(),
             orders: Mutex::default(),
         });
@@ -135,6 +150,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Requests that arrived, in order.
+    pub fn arrivals(&self) -> Vec<ArrivalRecord> {
+        lock(&self.state.arrivals).clone()
+    }
+
     /// Orders that were accepted.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.state.orders).clone()
@@ -222,6 +242,12 @@
         Some(_) => is_prefill,
         None => false,
     };
+    lock(&state.arrivals).push(ArrivalRecord {
+        attempt: attempt.clone(),
+        is_prefill,
+        is_accepted: !is_wrong_stage && !faults.rejects_requests,
+        at: Instant::now(),
+    });
     if is_wrong_stage {
         return respond(StatusCode::MISDIRECTED_REQUEST, &[("Not-Executed", "1")], "");
     }
