Send nothing to an upstream without a permit

Callers saw: broken streams multiplied load on sick engines; the platform counted more repeats than RetryRatio and RetrySlack allow. Cause: attempts and budget were asked in loops around some of the sends. The prefill of a resumed stream was outside of them, so it was neither an attempt nor a retry, and it was sent even if the resumption was then denied. Class: a limit kept by each caller of a send in place of the send. Change: Call::send takes a SendPermit, which only AttemptHistory::permit issues; it counts the attempt, asks the budget and is released if nothing was sent. A prompt is prefilled apart only before anything else was sent; a resumed stream is prefilled where it is decoded. An upstream's error no longer consumes two retries for one resend. Looked for elsewhere: plain requests, first runs, resends after an error, prefills and resumptions all go through Call::send. Releases of a KV cache, reports and orders aren't requests of a caller. The own interface asks its budget in StreamRelay::on_attempt_failed and front/plain for each resend and has no prefill apart. Ruled out: charging the second prefill two retries; with MaxAttempts 2 it isn't allowed at all.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use marigoldlock_core::gateway::outcome::AttemptFailure;
+use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPermit, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
 
 use super::call::Call;
@@ -20,8 +20,6 @@
 pub struct AttemptPlan {
     /// Where to fetch the prompt's KV cache from.
     pub kv_source: Option<KvSource>,
-    /// True if the upstream should only prefill the prompt.
-    pub is_prefill: bool,
     /// Id of the last event that the caller received.
     pub last_event: Option<u64>,
     /// Longest wait for the response head.
@@ -80,29 +78,43 @@
         }
     }
 
-    /// Sends the request to an upstream and reads the response head.
+    /// Sends the request to an upstream and reads the response head. The permit is released if nothing was sent.
     ///
     /// # Errors
     ///
     /// Returns the kind of failure if there is no usable response.
     pub async fn send(
+        &mut self,
+        entry: &UpstreamEntry,
+        permit: SendPermit,
+        plan: &AttemptPlan,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let result = self.send_permitted(entry, &permit, plan).await;
+        if matches!(result, Err(AttemptFailure::NotSent)) {
+            self.attempts.release(permit);
+        }
+        result
+    }
+
+    async fn send_permitted(
         &self,
         entry: &UpstreamEntry,
+        permit: &SendPermit,
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
-        let may_reuse_connection = self.route.kind.is_retryable() || plan.is_prefill;
+        let may_reuse_connection = self.route.kind.is_retryable() || permit.phase() == SendPhase::Prefill;
         let pooled = if may_reuse_connection {
             self.gateway.connections().take(&entry.id, self.gateway.now())
         } else {
             None
         };
         let response = match pooled {
-            Some(sender) => match self.send_on_connection(sender, entry, plan).await {
+            Some(sender) => match self.send_on_connection(sender, entry, permit, plan).await {
                 // The upstream had closed the idle connection; nothing was sent.
-                Err(AttemptFailure::NotSent) => self.send_on_new_connection(entry, plan).await,
+                Err(AttemptFailure::NotSent) => self.send_on_new_connection(entry, permit, plan).await,
                 result => result,
             },
-            None => self.send_on_new_connection(entry, plan).await,
+            None => self.send_on_new_connection(entry, permit, plan).await,
         }?;
         self.check_response(entry, response)
     }
@@ -110,10 +122,11 @@
     async fn send_on_new_connection(
         &self,
         entry: &UpstreamEntry,
+        permit: &SendPermit,
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         match connect(entry.address).await {
-            Ok(sender) => self.send_on_connection(sender, entry, plan).await,
+            Ok(sender) => self.send_on_connection(sender, entry, permit, plan).await,
             Err(err) => {
                 log::info!(request = self.head.attempt_id, upstream:% = entry.id, error:% = err; "connecting to the upstream failed");
                 Err(AttemptFailure::NotSent)
@@ -125,15 +138,15 @@
         &self,
         mut sender: HttpSender,
         entry: &UpstreamEntry,
+        permit: &SendPermit,
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         let time_left = self.time_left();
         if time_left.is_zero() {
             return Err(AttemptFailure::NotSent);
         }
-        let request = self.build_request(entry, plan, time_left);
-        let phase = if plan.is_prefill { "prefill" } else { "run" };
-        metrics::counter!("gateway_upstream_requests_total", "phase" => phase).increment(1);
+        let request = self.build_request(entry, permit.phase(), plan, time_left);
+        metrics::counter!("gateway_upstream_requests_total", "phase" => permit.phase().as_str()).increment(1);
         let sent = tokio::time::timeout(plan.timeout, sender.try_send_request(request)).await;
         match sent {
             Ok(Ok(response)) => {
@@ -166,6 +179,7 @@
     fn build_request(
         &self,
         entry: &UpstreamEntry,
+        phase: SendPhase,
         plan: &AttemptPlan,
         time_left: Duration,
     ) -> Request<Full<Bytes>> {
@@ -176,7 +190,7 @@
             time_left,
             last_event: plan.last_event,
             kv_source: plan.kv_source.as_ref(),
-            is_prefill: plan.is_prefill,
+            is_prefill: phase == SendPhase::Prefill,
             priority: self.priority(),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::choice::{ChoiceContext, pick_plain};
-use marigoldlock_core::gateway::outcome::{AttemptFailure, AttemptHistory};
+use marigoldlock_core::gateway::outcome::{AttemptFailure, AttemptHistory, SendPermit, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::route::KeyOwner;
 use marigoldlock_core::prelude::*;
@@ -184,7 +184,7 @@
     }
 
     /// Consumes a retry from the service's budget if it allows one.
-    pub fn try_retry(&self) -> bool {
+    fn try_retry(&self) -> bool {
         let now = self.gateway.now();
         let limits = self.gateway.bounds().budget;
         let mut state = self.gateway.state();
@@ -204,12 +204,17 @@
         is_granted
     }
 
-    /// True if the request may be sent to one more upstream. If that is a retry, it is consumed from the
-    /// budget.
-    pub fn may_send(&self) -> bool {
-        self.attempts.may_send(self.route.kind, self.route.max_attempts)
-            && !self.time_left().is_zero()
-            && (self.attempts.sent() == 0 || self.try_retry())
+    /// Returns the permission to send to one more upstream. If that is a retry, it is consumed from the budget.
+    pub fn permit(&mut self, phase: SendPhase) -> Option<SendPermit> {
+        if self.time_left().is_zero() {
+            return None;
+        }
+        let mut attempts = self.attempts;
+        let permit = attempts.permit(phase, self.route.kind, self.route.max_attempts, || {
+            self.try_retry()
+        });
+        self.attempts = attempts;
+        permit
     }
 
     /// Counts the request as started, once, for its customer's usage.
@@ -294,21 +299,19 @@
 
     async fn serve_plain(mut self) -> Response<ResponseBody> {
         let mut fallback = None;
-        while self.may_send() {
+        while let Some(permit) = self.permit(SendPhase::Run) {
             let Some((entry, has_others)) = self.choose_plain() else {
+                self.attempts.release(permit);
                 break;
             };
             let mut timeout = self.time_left();
-            if self.route.kind.is_retryable()
-                && has_others
-                && self.attempts.sent() + 1 < self.route.max_attempts
+            if self.route.kind.is_retryable() && has_others && self.attempts.sent() < self.route.max_attempts
             {
                 timeout =
                     timeout.min(MIN_ATTEMPT_TIMEOUT.max(self.route.target_latency * ATTEMPT_TIMEOUT_FACTOR));
             }
-            self.attempts.count_sent();
             let guard = WorkGuard::new(&self.gateway, &entry.id, 0);
-            let result = self.exchange(&entry, timeout).await;
+            let result = self.exchange(&entry, permit, timeout).await;
             drop(guard);
             match result {
                 Ok(response) if response.status() == StatusCode::INTERNAL_SERVER_ERROR => {
@@ -320,12 +323,7 @@
                     self.count_started();
                     return self.deliver(response);
                 }
-                Err(failure) => {
-                    if failure == AttemptFailure::NotSent {
-                        self.attempts.count_not_sent();
-                    }
-                    self.record_failure(&entry, failure);
-                }
+                Err(failure) => self.record_failure(&entry, failure),
             }
         }
         match fallback {
@@ -356,8 +354,9 @@
 
     /// Sends the request and reads the complete response.
     async fn exchange(
-        &self,
+        &mut self,
         entry: &UpstreamEntry,
+        permit: SendPermit,
         timeout: Duration,
     ) -> Result<Response<Bytes>, AttemptFailure> {
         let plan = AttemptPlan {
@@ -365,7 +364,7 @@
             last_event: self.head.last_event,
             ..AttemptPlan::default()
         };
-        let response = self.send(entry, &plan).await?;
+        let response = self.send(entry, permit, &plan).await?;
         self.read_full_response(entry, response).await
     }
 }
--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -8,7 +8,7 @@
 
 use marigoldlock_core::gateway::admission::{PrefillRate, retry_after};
 use marigoldlock_core::gateway::choice::pick_prefill;
-use marigoldlock_core::gateway::outcome::AttemptFailure;
+use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::state::UpstreamState;
 
@@ -74,12 +74,14 @@
     let started = call.gateway.now();
     let requests = call.requests_at(entry) + 1;
     let plan = AttemptPlan {
-        is_prefill: true,
         timeout: prefill_timeout(call, entry, uncached),
         ..AttemptPlan::default()
     };
+    let Some(permit) = call.permit(SendPhase::Prefill) else {
+        return PrefillOutcome::Failed;
+    };
     let mut guard = WorkGuard::new(&call.gateway, &entry.id, uncached);
-    let result = match call.send(entry, &plan).await {
+    let result = match call.send(entry, permit, &plan).await {
         Ok(response) if response.parts.status.is_success() => call.read_full_response(entry, response).await,
         Ok(_) => Err(AttemptFailure::Errored),
         Err(failure) => Err(failure),
@@ -88,14 +90,14 @@
         Ok(response) => response.into_body(),
         Err(failure) => {
             call.record_upstream_failure(entry, failure);
-            if failure == AttemptFailure::NotSent {
-                return PrefillOutcome::NotSent;
-            }
-            // A prefill has no side effects, but a failed one that was sent counts as an attempt.
-            call.attempts.count_sent();
-            return PrefillOutcome::Failed;
+            return if failure == AttemptFailure::NotSent {
+                PrefillOutcome::NotSent
+            } else {
+                PrefillOutcome::Failed
+            };
         }
     };
+    call.attempts.record_prefill();
     match call.gateway.parts.upstream_protocol.read_prefill(&body) {
         Ok(response) => {
             if let Some(prompt) = &call.head.prompt {
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Frame, Incoming};
 use marigoldlock_core::gateway::choice::{pick_decode, pick_prefill};
 use marigoldlock_core::gateway::events::event_id;
-use marigoldlock_core::gateway::outcome::AttemptFailure;
+use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::relay::SseSplitter;
 use rand::Rng;
@@ -106,10 +106,10 @@
     }
 }
 
-/// Opens a stream that continues after `last_event` on another upstream.
+/// Opens a stream that continues after `last_event` on another upstream. That upstream prefills the prompt too, since
+/// a second prefill elsewhere would be one more retry.
 async fn resume_stream(call: &mut Call, last_event: Option<u64>) -> Option<OpenStream> {
-    let choice = wait_for_engine(call, false).await;
-    try_open(call, choice, last_event).await
+    try_open(call, PrefillChoice::NotNeeded, last_event).await
 }
 
 async fn try_open(call: &mut Call, choice: PrefillChoice, last_event: Option<u64>) -> Option<OpenStream> {
@@ -117,19 +117,19 @@
         PrefillChoice::Engine(entry, uncached) => prefill_prompt(call, entry, uncached).await,
         PrefillChoice::NotNeeded | PrefillChoice::Busy(_) => None,
     };
-    while call.may_send() {
+    let mut next_permit = call.permit(SendPhase::Run);
+    while let Some(permit) = next_permit {
         let Some((entry, uncached)) = choose_upstream(call, kv_handle.is_some()) else {
+            call.attempts.release(permit);
             break;
         };
         let plan = AttemptPlan {
             kv_source: kv_handle.as_ref().map(|handle| handle.source.clone()),
             last_event,
             timeout: call.time_left(),
-            is_prefill: false,
         };
-        call.attempts.count_sent();
         let guard = WorkGuard::new(&call.gateway, &entry.id, uncached);
-        match call.send(&entry, &plan).await {
+        match call.send(&entry, permit, &plan).await {
             Ok(response) => {
                 if let Some(handle) = &mut kv_handle {
                     handle.is_fetched = true;
@@ -137,7 +137,8 @@
                 if response.parts.status.is_server_error() && call.route.kind.is_retryable() {
                     let status = response.parts.status;
                     call.record_failure(&entry, AttemptFailure::Errored);
-                    if call.may_send() {
+                    next_permit = call.permit(SendPhase::Run);
+                    if next_permit.is_some() {
                         log::info!(request = call.head.attempt_id, status = status.as_u16(); "upstream returned an error; retrying on another upstream");
                         call.count_started();
                         kv_handle = None;
@@ -151,14 +152,12 @@
                 });
             }
             Err(failure) => {
-                if failure == AttemptFailure::NotSent {
-                    call.attempts.count_not_sent();
-                }
                 // The KV cache may be gone; the next upstream prefills the prompt itself.
                 if failure != AttemptFailure::NotSent {
                     kv_handle = None;
                 }
                 call.record_failure(&entry, failure);
+                next_permit = call.permit(SendPhase::Run);
             }
         }
     }
--- a/marigoldlock/tests/platform_support/mod.rs
+++ b/marigoldlock/tests/platform_support/mod.rs
@@ -1,5 +1,7 @@
 //! A site of the users' platform, with instances in front of its upstreams.
 
+#![allow(dead_code, reason = "each test binary uses only a part")]
+
 use std::ops::{Deref, DerefMut};
 
 use marigoldlock_fleet::site::PlatformSite;
--- a/marigoldlock_core/src/gateway/outcome.rs
+++ b/marigoldlock_core/src/gateway/outcome.rs
@@ -1,4 +1,7 @@
 //! Outcomes of attempts, and whether a request may be sent again.
+//!
+//! Whatever a request sends to an upstream takes a [`SendPermit`], which only [`AttemptHistory::permit`] issues.
+//! So no path can send without being counted against the request's attempts and the service's retry budget.
 
 use super::call::RefusalCause;
 use super::route::CallKind;
@@ -39,24 +42,85 @@
     }
 }
 
+/// What a request to an upstream asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendPhase {
+    /// Only to prefill the prompt.
+    Prefill,
+    /// To run the request.
+    Run,
+}
+
+impl SendPhase {
+    /// Name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Run => "run",
+        }
+    }
+}
+
+/// Permission to send one request to an upstream.
+#[derive(Debug)]
+#[must_use = "an unused permit must be released"]
+pub struct SendPermit {
+    phase: SendPhase,
+}
+
+impl SendPermit {
+    /// What may be sent.
+    pub fn phase(&self) -> SendPhase {
+        self.phase
+    }
+}
+
 /// History of the attempts of one request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct AttemptHistory {
     sent: u32,
     may_have_run: bool,
+    /// True once an upstream has accepted a prefill.
+    has_prefill: bool,
 }
 
 impl AttemptHistory {
-    /// Counts an attempt that is about to be sent.
-    pub fn count_sent(&mut self) {
-        self.sent += 1;
+    /// Issues the permission to send once more; `None` if that is not allowed. `try_retry` consumes a retry from the
+    /// budget; it is called only if this is one.
+    pub fn permit(
+        &mut self,
+        phase: SendPhase,
+        kind: CallKind,
+        max_attempts: u32,
+        try_retry: impl FnOnce() -> bool,
+    ) -> Option<SendPermit> {
+        let is_allowed = match phase {
+            // A second prefill would count as an attempt and as a retry, besides those of the run that follows.
+            SendPhase::Prefill => self.sent == 0 && !self.has_prefill,
+            SendPhase::Run => self.may_send(kind, max_attempts),
+        };
+        if !is_allowed || self.sent > 0 && !try_retry() {
+            return None;
+        }
+        self.count_sent();
+        Some(SendPermit { phase })
     }
 
-    /// Undoes the count of an attempt that was never sent.
-    pub fn count_not_sent(&mut self) {
+    /// Takes back a permission if nothing was sent.
+    pub fn release(&mut self, _permit: SendPermit) {
         self.sent = self.sent.saturating_sub(1);
     }
 
+    /// Records that an upstream accepted the prefill, which then doesn't count as an attempt.
+    pub fn record_prefill(&mut self) {
+        self.has_prefill = true;
+        self.sent = self.sent.saturating_sub(1);
+    }
+
+    pub(super) fn count_sent(&mut self) {
+        self.sent += 1;
+    }
+
     /// Records a failed attempt.
     pub fn record(&mut self, failure: AttemptFailure) {
         self.may_have_run |= failure.may_have_run();
--- a/marigoldlock_core/src/gateway/tests/requests.rs
+++ b/marigoldlock_core/src/gateway/tests/requests.rs
@@ -6,7 +6,7 @@
 use crate::gateway::budget::{BudgetLimits, RetryBudget};
 use crate::gateway::call::RefusalCause;
 use crate::gateway::events::event_id;
-use crate::gateway::outcome::{AttemptFailure, AttemptHistory};
+use crate::gateway::outcome::{AttemptFailure, AttemptHistory, SendPhase};
 use crate::gateway::route::{CallKind, CallerLimits, GatewaySettings, KeyOwner, RouteRule, TrafficShare};
 
 const STREAM: CallKind = CallKind::Stream { resumable: false };
@@ -131,6 +131,47 @@
     assert_eq!(attempts.refusal(true), RefusalCause::TimedOut);
 }
 
+#[test]
+fn only_the_first_prefill_is_free() {
+    let mut attempts = AttemptHistory::default();
+    let never = || panic!("no retry is due");
+    let prefill = attempts.permit(SendPhase::Prefill, RESUMABLE, 2, never).unwrap();
+    attempts.release(prefill);
+    let _prefill = attempts.permit(SendPhase::Prefill, RESUMABLE, 2, never).unwrap();
+    attempts.record_prefill();
+    assert!(
+        attempts
+            .permit(SendPhase::Prefill, RESUMABLE, 2, || true)
+            .is_none()
+    );
+    let _run = attempts.permit(SendPhase::Run, RESUMABLE, 2, never).unwrap();
+    attempts.record(AttemptFailure::Broken);
+    assert!(
+        attempts
+            .permit(SendPhase::Prefill, RESUMABLE, 2, || true)
+            .is_none()
+    );
+    assert!(
+        attempts.permit(SendPhase::Run, RESUMABLE, 2, || false).is_none(),
+        "the budget is exhausted"
+    );
+    let _resumed = attempts.permit(SendPhase::Run, RESUMABLE, 2, || true).unwrap();
+    assert!(attempts.permit(SendPhase::Run, RESUMABLE, 2, || true).is_none());
+}
+
+#[test]
+fn a_rejected_prefill_counts_as_an_attempt() {
+    for (max_attempts, may_run) in [(1, false), (2, true)] {
+        let mut attempts = AttemptHistory::default();
+        let _rejected = attempts
+            .permit(SendPhase::Prefill, STREAM, max_attempts, || false)
+            .unwrap();
+        attempts.record(AttemptFailure::NotRun);
+        let run = attempts.permit(SendPhase::Run, STREAM, max_attempts, || true);
+        assert_eq!(run.is_some(), may_run);
+    }
+}
+
 #[test]
 fn all_instances_together_stay_within_the_retry_budget() {
     let limits = BudgetLimits {
