Withhold the fixed part of the retry budget after a start

Callers saw: with upstreams that failed most requests, each restart of an instance sent another burst of retries to them. Cause: the budget lives in the process. A successor was granted the full part of the fixed slack that its predecessor had used within the same window. Class: a limit over time whose state ends with the process. Change: an instance uses only its share of its own requests for one window after its start, unless its card is the first record of the fleet's member list. PlatformSite waits until the list was read. A log line of the budget tells the share. Open: an instance that is cut off from all others for over a minute forgets them and then divides by too few.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -188,15 +188,15 @@
         let now = self.gateway.now();
         let limits = self.gateway.bounds().budget;
         let mut state = self.gateway.state();
-        let instances = state.instances();
+        let share = state.budget_start.share(now, &limits, state.instances());
         let budget = state.retry_budgets.entry(self.service.clone()).or_default();
-        let is_granted = budget.try_retry(now, &limits, instances);
-        let usage = budget.usage(&limits, instances);
+        let is_granted = budget.try_retry(now, &limits, share);
+        let usage = budget.usage(&limits, share);
         drop(state);
         log::info!(
             target: DECISION_TARGET,
             request = self.head.attempt_id, service:% = self.service, granted = is_granted, requests = usage.requests,
-            retries = usage.retries, allowed = usage.allowed, instances;
+            retries = usage.retries, allowed = usage.allowed, share:? = share;
             "retry checked against the budget"
         );
         let outcome = if is_granted { "granted" } else { "denied" };
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -153,6 +153,7 @@
                 for record in &listing.records {
                     add_member(&gateway, record);
                 }
+                gateway.state().has_member_list = true;
                 let instances = u32::try_from(gateway.state().instances()).unwrap_or(u32::MAX);
                 tokio::time::sleep(MEMBER_LIST_INTERVAL * instances).await;
             }
@@ -164,10 +165,16 @@
     }
 }
 
+/// Adds an instance from its card in the store. The first card ever written, at offset 0, is that of an instance which
+/// had none before it.
 fn add_member(gateway: &Gateway, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
     match serde_json::from_slice::<MemberCard>(value) {
-        Ok(card) if card.id == gateway.parts.card.id => {}
+        Ok(card) if card.id == gateway.parts.card.id => {
+            if record.offset == 0 {
+                gateway.state().budget_start.record_first();
+            }
+        }
         Ok(card) => gateway.state().members.add_card(card, gateway.now()),
         Err(err) => log::warn!(key = record.key, error:% = err; "a member card can't be parsed; ignored"),
     }
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -168,7 +168,7 @@
         let listeners = Listeners::bind(&mut parts).await?;
         let gateway = Arc::new(Gateway {
             bounds: Mutex::new(parts.bounds),
-            state: Mutex::new(GatewayState::default()),
+            state: Mutex::new(GatewayState::new(parts.clock.now())),
             connections: Mutex::new(ConnectionPool::default()),
             work_changed: Notify::new(),
             peer_sync_differs: Notify::new(),
@@ -209,6 +209,11 @@
         self.gateway.state().stage == MemberStage::Ready
     }
 
+    /// True once the instance has read the list of members from the store.
+    pub fn has_member_list(&self) -> bool {
+        self.gateway.state().has_member_list
+    }
+
     /// Version of the settings in force; 0 for none.
     pub fn settings_version(&self) -> u64 {
         self.gateway
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use marigoldlock_core::gateway::admission::PrefillRate;
-use marigoldlock_core::gateway::budget::RetryBudget;
+use marigoldlock_core::gateway::budget::{BudgetStart, RetryBudget};
 use marigoldlock_core::gateway::choice::Candidate;
 use marigoldlock_core::gateway::clock::FleetClock;
 use marigoldlock_core::gateway::duty::DutyState;
@@ -49,6 +49,10 @@
     pub upstreams: FastMap<UpstreamId, UpstreamState>,
     /// Other instances.
     pub members: MemberTable,
+    /// True once the list of members has been read from the store.
+    pub has_member_list: bool,
+    /// What is known of retries before this instance started.
+    pub budget_start: BudgetStart,
     /// Retry budget of each service.
     pub retry_budgets: FastMap<ServiceId, RetryBudget>,
     /// Estimate of the current time.
@@ -79,6 +83,14 @@
 }
 
 impl GatewayState {
+    /// State of an instance that starts now.
+    pub fn new(started_at: MonoTime) -> Self {
+        Self {
+            budget_start: BudgetStart::new(started_at),
+            ..Self::default()
+        }
+    }
+
     /// Upstreams of a service that may be sent a request now, with their state; if none is healthy, all that
     /// are listed. Upstreams that are changing their role are left out.
     pub fn candidates<'a>(
@@ -152,7 +164,7 @@
             .max(FleetView { own, members, now }.store_recovered_at())
     }
 
-    /// Number of instances that share the retry budget.
+    /// Number of instances that share the fixed part of the retry budget.
     pub fn instances(&self) -> usize {
         self.members.all().count() + 1
     }
--- a/marigoldlock_core/src/gateway/tests/requests.rs
+++ b/marigoldlock_core/src/gateway/tests/requests.rs
@@ -3,7 +3,7 @@
 use marigoldlock_wire::prelude::*;
 
 use super::{at, millis};
-use crate::gateway::budget::{BudgetLimits, RetryBudget};
+use crate::gateway::budget::{BudgetLimits, BudgetStart, FixedShare, RetryBudget};
 use crate::gateway::call::RefusalCause;
 use crate::gateway::events::event_id;
 use crate::gateway::outcome::{AttemptFailure, AttemptHistory, SendPhase};
@@ -187,7 +187,7 @@
                 budget.count_request(at(request * 10), &limits);
             }
             retries += (0..200)
-                .filter(|_| budget.try_retry(at(600), &limits, instances))
+                .filter(|_| budget.try_retry(at(600), &limits, FixedShare::Equal(instances)))
                 .count();
         }
         let allowed = 0.2 * 50.0 * instances as f64 + 56.0;
@@ -198,6 +198,50 @@
     }
 }
 
+/// Guards against retries beyond the budget: each restart granted the fixed retries anew.
+#[test]
+fn instances_that_restart_at_any_time_stay_within_the_retry_budget() {
+    let limits = BudgetLimits {
+        ratio: 0.2,
+        slack: 52.0,
+        window: millis(10_000),
+    };
+    let step_ms = 50;
+    for lifetime_ms in [200, 1_000, 4_000, 9_950, 10_050, 15_000, 100_000] {
+        let instances = 6;
+        let mut sent = Vec::new();
+        for instance in 0..instances {
+            let mut start = BudgetStart::new(at(0));
+            let mut budget = RetryBudget::default();
+            for time in (0..40_000).step_by(step_ms) {
+                let is_restart = time > 0 && (time + instance * 130) % lifetime_ms < step_ms as u64;
+                if is_restart {
+                    start = BudgetStart::new(at(time));
+                    budget = RetryBudget::default();
+                }
+                if time == 0 && instance == 0 {
+                    start.record_first();
+                }
+                budget.count_request(at(time), &limits);
+                let share = start.share(at(time), &limits, instances as usize);
+                while budget.try_retry(at(time), &limits, share) {
+                    sent.push(time);
+                }
+            }
+        }
+        for from in (0..30_000_u64).step_by(step_ms) {
+            let window = from..from + 10_000;
+            let retries = sent.iter().filter(|&&time| window.contains(&time)).count();
+            let requests = instances as f64 * 10_000.0 / step_ms as f64;
+            let allowed = limits.ratio * requests + limits.slack;
+            assert!(
+                retries as f64 <= allowed,
+                "lifetime {lifetime_ms} ms, from {from} ms: {retries} of {allowed}"
+            );
+        }
+    }
+}
+
 #[test]
 fn the_retry_budget_is_restored_after_its_window() {
     let limits = BudgetLimits {
@@ -206,10 +250,13 @@
         window: millis(10_000),
     };
     let mut budget = RetryBudget::default();
-    let granted = (0..10).filter(|_| budget.try_retry(at(0), &limits, 1)).count();
+    let share = FixedShare::Equal(1);
+    let granted = (0..10)
+        .filter(|_| budget.try_retry(at(0), &limits, share))
+        .count();
     assert_eq!(granted, 4);
-    assert!(!budget.try_retry(at(9_999), &limits, 1));
-    assert!(budget.try_retry(at(10_001), &limits, 1));
+    assert!(!budget.try_retry(at(9_999), &limits, share));
+    assert!(budget.try_retry(at(10_001), &limits, share));
 }
 
 #[test]
--- a/marigoldlock_fleet/src/site.rs
+++ b/marigoldlock_fleet/src/site.rs
@@ -93,7 +93,7 @@
         let settings = ProcessSettings::parse(file.to_string().as_bytes()).map_err(|reason| eyre!(reason))?;
         let server = GatewayServer::start(gateway_parts(&settings, None)?).await?;
         until("the instance is ready", || {
-            server.is_ready() && server.usable_upstreams() == self.upstreams.len()
+            server.is_ready() && server.has_member_list() && server.usable_upstreams() == self.upstreams.len()
         })
         .await?;
         self.instances.push(server);
