Read and log the rate limit that an upstream states

The logs could not show whether an instance had been told a limit, or what it sent afterwards. Change: the adapter decodes the platform's header into ResponseHead::rate_limit; UpstreamState keeps the limit until a response to a later request doesn't state it; log lines when it changes and for each send to such an upstream; the label 'limited' of gateway_upstream_requests_total. No choice of an upstream changes.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -8,6 +8,9 @@
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPermit, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::prelude::*;
+
+use crate::logging::DECISION_TARGET;
 
 use super::call::Call;
 use super::connections::{HttpSender, connect};
@@ -30,6 +33,7 @@
 pub struct UpstreamResponse {
     pub sender: HttpSender,
     pub head: ResponseHead,
+    pub sent_at: MonoTime,
     pub parts: response::Parts,
     pub body: Incoming,
 }
@@ -46,6 +50,7 @@
             head,
             parts,
             body,
+            ..
         } = response;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body = match tokio::time::timeout(self.time_left(), read).await {
@@ -146,7 +151,20 @@
             return Err(AttemptFailure::NotSent);
         }
         let request = self.build_request(entry, permit.phase(), plan, time_left);
-        metrics::counter!("gateway_upstream_requests_total", "phase" => permit.phase().as_str()).increment(1);
+        let rate = self.gateway.state().upstream(&entry.id).rate_limit();
+        if rate.is_some() {
+            log::info!(
+                target: DECISION_TARGET,
+                request = self.head.attempt_id, upstream:% = entry.id, phase = permit.phase().as_str(), per_second:? = rate;
+                "sending to an upstream that states a rate limit"
+            );
+        }
+        metrics::counter!(
+            "gateway_upstream_requests_total",
+            "phase" => permit.phase().as_str(), "limited" => if rate.is_some() { "yes" } else { "no" }
+        )
+        .increment(1);
+        let sent_at = self.gateway.now();
         let sent = tokio::time::timeout(plan.timeout, sender.try_send_request(request)).await;
         match sent {
             Ok(Ok(response)) => {
@@ -155,6 +173,7 @@
                 Ok(UpstreamResponse {
                     sender,
                     head,
+                    sent_at,
                     parts,
                     body,
                 })
@@ -206,6 +225,19 @@
         request
     }
 
+    /// Records the rate limit that the upstream states, or no longer states.
+    fn record_limit(&self, entry: &UpstreamEntry, response: &UpstreamResponse) {
+        let now = self.gateway.now();
+        let rate = response.head.rate_limit;
+        let mut state = self.gateway.state();
+        if state
+            .upstream(&entry.id)
+            .record_limit(rate, response.sent_at, now)
+        {
+            log::info!(upstream:% = entry.id, per_second:? = rate; "the upstream's rate limit changed");
+        }
+    }
+
     /// Checks that the response belongs to this request and is not a refusal.
     fn check_response(
         &self,
@@ -221,6 +253,10 @@
             .attempt_id
             .as_ref()
             .is_some_and(|id| *id != self.head.attempt_id);
+        // A late response to another request may be older than the limit, but it can't name one that isn't there.
+        if !head.is_other_upstream && (head.rate_limit.is_some() || !is_mismatched) {
+            self.record_limit(entry, &response);
+        }
         if is_mismatched {
             log::warn!(
                 request = self.head.attempt_id, upstream:% = entry.id, answer_to = head.attempt_id.as_deref();
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 pub mod members;
 pub mod outcome;
+pub mod pace;
 pub mod prefix;
 pub mod queue;
 pub mod roles;
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::time::MonoTime;
 
 use super::adapter::LoadReport;
+use super::pace::StatedLimit;
 use super::prefix::PrefixSet;
 
 /// Consecutive failures after which an upstream is ejected.
@@ -77,6 +78,7 @@
     /// Prompt parts that are probably in the upstream's cache.
     pub prefix: PrefixSet,
     report: Option<(LoadReport, MonoTime)>,
+    limit: Option<StatedLimit>,
     failures: u32,
     ejected_until: MonoTime,
     full_until: MonoTime,
@@ -100,6 +102,24 @@
         self.report = Some((report, now));
     }
 
+    /// Records whether a response states a limit, and which. `sent_at` is when its request was sent: a response
+    /// without a limit ends one only if the upstream knew of the limit when it answered. Returns true if the limit
+    /// changed.
+    pub fn record_limit(&mut self, rate: Option<f64>, sent_at: MonoTime, now: MonoTime) -> bool {
+        let before = self.rate_limit();
+        match rate {
+            Some(rate) => self.limit = Some(StatedLimit::new(rate, now)),
+            None if self.limit.is_some_and(|limit| limit.is_older_than(sent_at)) => self.limit = None,
+            None => {}
+        }
+        before != self.rate_limit()
+    }
+
+    /// Requests per second that the upstream takes from all instances together, if it states a limit.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.rate())
+    }
+
     /// Records a complete response.
     pub fn record_success(&mut self, now: MonoTime) {
         self.failures = 0;
