Copy a resumed stream's prompt from the engine that prefilled it

Since a resumed stream is no longer prefilled apart, the engine that decodes it reads the whole prompt at half the speed, between the tokens of others. Change: a run without the handle of a KV cache names the engine that prefilled the prompt, if that is still listed and healthy; the intended engine copies the cached parts from there. It is the same request, so no arrival is added. Such a run goes to the engine with the least work, as one with a handle does. Ruled out: a second prefill charged two retries; MaxAttempts 2 forbids it.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt: sends a request to an upstream and reads the response.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +24,8 @@
 pub struct AttemptPlan {
     /// Where to fetch the prompt's KV cache from.
     pub kv_source: Option<KvSource>,
+    /// Upstream from which to copy cached parts of the prompt.
+    pub cache_peer: Option<SocketAddr>,
     /// Id of the last event that the caller received.
     pub last_event: Option<u64>,
     /// Longest wait for the response head.
@@ -209,6 +212,7 @@
             time_left,
             last_event: plan.last_event,
             kv_source: plan.kv_source.as_ref(),
+            cache_peer: plan.cache_peer,
             is_prefill: phase == SendPhase::Prefill,
             priority: self.priority(),
         };
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -49,6 +49,8 @@
     pub deadline: MonoTime,
     pub attempts: AttemptHistory,
     pub tried: Vec<UpstreamId>,
+    /// Engine that prefilled the prompt for another one.
+    pub prefilled_at: Option<UpstreamId>,
     /// KV cache capacity of one of the service's engines, in tokens.
     pub kv_tokens: u64,
     /// Number of events forwarded so far.
@@ -130,6 +132,7 @@
         deadline: arrived + timeout,
         attempts: AttemptHistory::default(),
         tried: Vec::new(),
+        prefilled_at: None,
         events: 0,
         first_event_at: None,
         is_counted: false,
--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -98,6 +98,7 @@
         }
     };
     call.attempts.record_prefill();
+    call.prefilled_at = Some(entry.id.clone());
     match call.gateway.parts.upstream_protocol.read_prefill(&body) {
         Ok(response) => {
             if let Some(prompt) = &call.head.prompt {
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -4,6 +4,8 @@
 //! fetches the KV cache. Only complete events are forwarded, so that another upstream can continue after the
 //! last one.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -119,12 +121,15 @@
     };
     let mut next_permit = call.permit(SendPhase::Run);
     while let Some(permit) = next_permit {
-        let Some((entry, uncached)) = choose_upstream(call, kv_handle.is_some()) else {
+        let cache_peer = cache_peer(call).filter(|_| kv_handle.is_none());
+        let Some((entry, uncached)) = choose_upstream(call, kv_handle.is_some() || cache_peer.is_some())
+        else {
             call.attempts.release(permit);
             break;
         };
         let plan = AttemptPlan {
             kv_source: kv_handle.as_ref().map(|handle| handle.source.clone()),
+            cache_peer,
             last_event,
             timeout: call.time_left(),
         };
@@ -164,6 +169,15 @@
     None
 }
 
+/// Engine that has prefilled the prompt and probably still has it in its cache, if it is still listed.
+fn cache_peer(call: &Call) -> Option<SocketAddr> {
+    let id = call.prefilled_at.as_ref()?;
+    let state = call.gateway.state();
+    let entry = state.catalog.get(id.as_str()).filter(|entry| !entry.is_leaving)?;
+    let engine = state.upstreams.get(id)?;
+    engine.is_usable(call.gateway.now()).then_some(entry.address)
+}
+
 /// Chooses the upstream that decodes the request, and returns the number of prompt tokens that it must
 /// prefill.
 fn choose_upstream(call: &Call, has_kv_cache: bool) -> Option<(UpstreamEntry, u64)> {
--- a/marigoldlock/tests/platform_retries.rs
+++ b/marigoldlock/tests/platform_retries.rs
@@ -7,7 +7,7 @@
 use marigoldlock::gateway::{GatewayBounds, GatewayServer};
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_standin::site::UpstreamStandin;
-use platform_support::Site;
+use platform_support::{Site, event_ids};
 
 /// Allows `slack` retries and none per request.
 fn limit_retries(server: &GatewayServer, slack: f64) {
@@ -62,6 +62,24 @@
     }
 }
 
+/// Guards against a second full prefill: a resumed stream is no longer prefilled apart.
+#[tokio::test]
+async fn a_resumed_stream_copies_the_prompt_from_the_engine_that_prefilled_it() {
+    let site = Site::start(1).await;
+    break_streams(&site, false);
+    let answer = site.send(0, "/draft/x", "s1").await;
+    assert_eq!(event_ids(&answer.text().await.unwrap()).len(), 6);
+    let mut runs: Vec<_> = ["d1", "d2"]
+        .iter()
+        .flat_map(|id| site.runner(id).runs())
+        .collect();
+    runs.sort_by_key(|run| run.last_event);
+    let peer = site.runner("p1").address().to_string();
+    assert_eq!((runs.len(), runs[0].kv_fetch.as_ref()), (2, None));
+    assert_eq!(runs[1].kv_source, None, "a handle can be taken only once");
+    assert_eq!(runs[1].kv_fetch.as_deref(), Some(peer.as_str()));
+}
+
 /// Guards against retries beyond the budget: an exhausted budget still let each broken stream send a prefill.
 #[tokio::test]
 async fn broken_streams_send_nothing_more_once_the_retry_budget_is_exhausted() {
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -87,6 +87,8 @@
     pub last_event: Option<u64>,
     /// Where to fetch the prompt's KV cache from.
     pub kv_source: Option<&'a KvSource>,
+    /// Upstream from which to copy cached parts of the prompt that the intended one lacks.
+    pub cache_peer: Option<SocketAddr>,
     /// True if the upstream should only prefill the prompt.
     pub is_prefill: bool,
     /// Priority among the upstream's requests, 0 to 9; 0 is the most urgent.
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -58,6 +58,8 @@
     pub is_prefill: bool,
     /// Source of the prompt's KV cache.
     pub kv_source: Option<String>,
+    /// Upstream from which cached parts of the prompt were to be copied.
+    pub kv_fetch: Option<String>,
     /// Last event the caller has, if the request resumed a stream.
     pub last_event: Option<u64>,
     /// True if the caller's key was passed on.
@@ -260,6 +262,7 @@
         tenant: text(headers, "tenant").map(str::to_owned),
         is_prefill,
         kv_source: text(headers, "kv-source").map(str::to_owned),
+        kv_fetch: text(headers, "kv-fetch").map(str::to_owned),
         last_event,
         has_key: headers.contains_key("authorization"),
         path: path.to_owned(),
