--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -43,6 +43,8 @@
     pub crosses_answers: bool,
     /// Requests run but are refused with 503, without the header that marks them as not executed.
     pub refuses_after_run: bool,
+    /// Requests per second that every answer states as the upstream's limit.
+    pub rate_limit: Option<f64>,
     /// Duration of a request.
     pub delay: Duration,
 }
@@ -231,6 +233,15 @@
 }
 
 async fn run(state: &UpstreamState, headers: &HeaderMap, path: &str, body: Bytes) -> Response<Body> {
+    let rate_limit = lock(&state.faults).rate_limit;
+    let mut response = answer(state, headers, path, body).await;
+    if let Some(value) = rate_limit.and_then(|rate| rate.to_string().parse().ok()) {
+        response.headers_mut().insert("server-limit", value);
+    }
+    response
+}
+
+async fn answer(state: &UpstreamState, headers: &HeaderMap, path: &str, body: Bytes) -> Response<Body> {
     let faults = lock(&state.faults).clone();
     let attempt = text(headers, "attempt-id").unwrap_or_default().to_owned();
     let echoed = if faults.crosses_answers {
