Keep the rate limits that upstreams state, across the fleet

Callers saw: nothing at first; engines in need got more than they take, so their streams slowed down and failed later. Cause: the platform's way to state a limit was unknown to the adapter and to every decision; nothing limited what goes to one upstream over time. Class: load control by an upstream that ends at the adapter. Change: gateway::pace shares a stated rate without messages: by the fleet's clock the upstream grants one request every 1 / rate seconds, to the serving instances in turn; a grant lapses after a second. Upstreams without a grant are no candidates, also where no other is left, and Call::send uses the grant, so prefills, runs, resends and resumptions are all counted. If only limits stand in the way, the request is refused at once as busy, with the time until the next grant. Looked for elsewhere: Call::send is the only way by which callers' requests reach an upstream; reports, orders and releases of a KV cache go beside it and aren't counted. The own interface's engines have no way to state a rate. Ruled out: an equal token bucket an instance (a burst of one each breaks a small limit in a large fleet); a few senders chosen by rank (most instances could serve nothing if all engines state limits); limits in heartbeats (a new message version; each instance is bound by what it was told itself). Found by the new tests: with the clock set back by a minute an instance would have waited for a minute; it no longer does. Load without a network (gateway/tests/pace.rs): 1 to 400 instances, 0.3 to 60 a second, idle starts, clocks that differ by 200 ms, instances that stop: never over 1.5 times the rate and five in 4 s; hungry fleets use the rate to 5 %.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPermit, SendPhase};
+use marigoldlock_core::gateway::pace::LimitStatement;
 use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::prelude::*;
 
 use crate::logging::DECISION_TARGET;
@@ -97,13 +99,38 @@
         permit: SendPermit,
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
-        let result = self.send_permitted(entry, &permit, plan).await;
-        if matches!(result, Err(AttemptFailure::NotSent)) {
+        let result = if self.start_request(entry, &permit) {
+            self.send_permitted(entry, &permit, plan).await
+        } else {
+            Err(AttemptFailure::Limited)
+        };
+        if result.as_ref().is_err_and(|failure| failure.is_unsent()) {
             self.attempts.release(permit);
         }
         result
     }
 
+    /// Counts the request against the upstream's rate limit; returns false if that doesn't allow it now.
+    fn start_request(&self, entry: &UpstreamEntry, permit: &SendPermit) -> bool {
+        let mut state = self.gateway.state();
+        let Some(turn) = self.gateway.pace_turn(&state) else {
+            return true;
+        };
+        let upstream = state.upstream(&entry.id);
+        let is_started = upstream.start_request(&turn);
+        let rate = upstream.rate_limit();
+        drop(state);
+        if rate.is_some() {
+            log::info!(
+                target: DECISION_TARGET,
+                request = self.head.attempt_id, upstream:% = entry.id, phase = permit.phase().as_str(), per_second:? = rate,
+                instances = turn.instances, granted = is_started;
+                "request checked against the upstream's rate limit"
+            );
+        }
+        is_started
+    }
+
     async fn send_permitted(
         &self,
         entry: &UpstreamEntry,
@@ -155,13 +182,6 @@
         }
         let request = self.build_request(entry, permit.phase(), plan, time_left);
         let rate = self.gateway.state().upstream(&entry.id).rate_limit();
-        if rate.is_some() {
-            log::info!(
-                target: DECISION_TARGET,
-                request = self.head.attempt_id, upstream:% = entry.id, phase = permit.phase().as_str(), per_second:? = rate;
-                "sending to an upstream that states a rate limit"
-            );
-        }
         metrics::counter!(
             "gateway_upstream_requests_total",
             "phase" => permit.phase().as_str(), "limited" => if rate.is_some() { "yes" } else { "no" }
@@ -231,13 +251,16 @@
 
     /// Records the rate limit that the upstream states, or no longer states.
     fn record_limit(&self, entry: &UpstreamEntry, response: &UpstreamResponse) {
-        let now = self.gateway.now();
         let rate = response.head.rate_limit;
+        let statement = LimitStatement {
+            upstream: UpstreamKey::from(&entry.id),
+            rate,
+            sent_at: response.sent_at,
+            received_at: self.gateway.now(),
+            fleet_ms: self.gateway.fleet_unix_ms(),
+        };
         let mut state = self.gateway.state();
-        if state
-            .upstream(&entry.id)
-            .record_limit(rate, response.sent_at, now)
-        {
+        if state.upstream(&entry.id).record_limit(&statement) {
             log::info!(upstream:% = entry.id, per_second:? = rate; "the upstream's rate limit changed");
         }
     }
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -33,6 +33,10 @@
 /// requests take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Longest time after which a caller may retry if upstreams' rate limits leave no room: other instances have their
+/// turns in the meantime.
+const MAX_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Time after which a caller may retry if the instance has no settings yet.
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(600);
 
@@ -233,6 +237,12 @@
     /// Refusal to return if the request is not sent again.
     pub fn refusal(&self) -> Refusal {
         let refusal = Refusal::new(self.attempts.refusal(self.time_left().is_zero()));
+        if refusal.cause == RefusalCause::NoUpstream
+            && let Some(wait) = self.limit_wait()
+        {
+            return Refusal::new(RefusalCause::Busy)
+                .retry_after(wait.clamp(RETRY_AFTER, MAX_LIMIT_RETRY_AFTER));
+        }
         if refusal.cause.is_not_run() {
             refusal.retry_after(RETRY_AFTER)
         } else {
@@ -240,6 +250,19 @@
         }
     }
 
+    /// Shortest time until an upstream's rate limit allows a request from here; `None` if none of the service's
+    /// upstreams states one.
+    fn limit_wait(&self) -> Option<Duration> {
+        let state = self.gateway.state();
+        let turn = self.gateway.pace_turn(&state)?;
+        let limited = state
+            .catalog
+            .usable(&self.service)
+            .filter_map(|entry| state.upstreams.get(&entry.id))
+            .filter(|upstream| upstream.rate_limit().is_some());
+        limited.map(|upstream| upstream.limit_wait(&turn)).min()
+    }
+
     /// Builds the response for a refused request.
     pub fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
         refuse(&self.gateway, &self.head, Some(&self.route.name), refusal)
@@ -286,7 +309,7 @@
                 upstream.record_full(now);
                 false
             }
-            AttemptFailure::Errored => false,
+            AttemptFailure::Errored | AttemptFailure::Limited => false,
             AttemptFailure::NotSent | AttemptFailure::OtherUpstream => upstream.record_unreachable(now),
             _ => upstream.record_failure(now),
         };
@@ -343,7 +366,8 @@
     fn choose_plain(&self) -> Option<(UpstreamEntry, bool)> {
         let context = self.choice_context();
         let state = self.gateway.state();
-        let candidates = state.candidates(&self.service, |_| true, &self.tried, context.now);
+        let turn = self.gateway.pace_turn(&state);
+        let candidates = state.candidates(&self.service, |_| true, &self.tried, context.now, turn.as_ref());
         let has_others = candidates.len() > 1;
         let entry = pick_plain(candidates.iter().copied(), context, rand::rng().random())?;
         log::info!(
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -36,7 +36,9 @@
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::adapter::{DirectoryProtocol, UpstreamOrders};
 use marigoldlock_core::gateway::budget::BudgetLimits;
+use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
+use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
 use tokio::net::{TcpListener, UdpSocket};
@@ -150,6 +152,25 @@
     fn now(&self) -> MonoTime {
         self.parts.clock.now()
     }
+
+    /// Turn of this instance at the upstreams that state a rate limit; `None` if none does.
+    fn pace_turn(&self, state: &GatewayState) -> Option<PaceTurn> {
+        let is_limited = state
+            .upstreams
+            .values()
+            .any(|upstream| upstream.rate_limit().is_some());
+        if !is_limited {
+            return None;
+        }
+        let now = self.now();
+        let fleet_ms = state.fleet_clock.unix_ms(self.parts.clock.unix_ms(), now);
+        let view = FleetView {
+            own: &self.parts.card,
+            members: &state.members,
+            now,
+        };
+        Some(PaceTurn::new(&view, fleet_ms))
+    }
 }
 
 /// A running gateway.
--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -90,7 +90,7 @@
         Ok(response) => response.into_body(),
         Err(failure) => {
             call.record_upstream_failure(entry, failure);
-            return if failure == AttemptFailure::NotSent {
+            return if failure.is_unsent() {
                 PrefillOutcome::NotSent
             } else {
                 PrefillOutcome::Failed
@@ -209,7 +209,8 @@
     let prompt = call.head.prompt.as_ref()?;
     let context = call.choice_context();
     let state = call.gateway.state();
-    let candidates = state.candidates(&call.service, |_| true, &call.tried, context.now);
+    let turn = call.gateway.pace_turn(&state);
+    let candidates = state.candidates(&call.service, |_| true, &call.tried, context.now, turn.as_ref());
     let has_decode_engine = candidates
         .iter()
         .any(|candidate| candidate.entry.role == UpstreamRole::Decode);
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use marigoldlock_core::gateway::duty::DutyState;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage, MemberTable, SyncState};
+use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::queue::PrefillQueue;
 use marigoldlock_core::gateway::state::UpstreamState;
@@ -92,13 +93,14 @@
     }
 
     /// Upstreams of a service that may be sent a request now, with their state; if none is healthy, all that
-    /// are listed. Upstreams that are changing their role are left out.
+    /// are listed. Upstreams that are changing their role, or whose rate limit allows no request, are left out.
     pub fn candidates<'a>(
         &'a self,
         service: &'a ServiceId,
         role: impl Fn(UpstreamRole) -> bool,
         tried: &[UpstreamId],
         now: MonoTime,
+        turn: Option<&PaceTurn>,
     ) -> Vec<Candidate<'a>> {
         let is_changing = |id: &UpstreamId| {
             self.changing.contains(id)
@@ -115,6 +117,7 @@
                 let state = self.upstreams.get(&entry.id)?;
                 Some(Candidate { entry, state })
             })
+            .filter(|candidate| turn.is_none_or(|turn| candidate.state.limit_wait(turn).is_zero()))
             .collect();
         let healthy: Vec<Candidate<'a>> = listed
             .iter()
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -158,7 +158,7 @@
             }
             Err(failure) => {
                 // The KV cache may be gone; the next upstream prefills the prompt itself.
-                if failure != AttemptFailure::NotSent {
+                if !failure.is_unsent() {
                     kv_handle = None;
                 }
                 call.record_failure(&entry, failure);
@@ -183,8 +183,9 @@
 fn choose_upstream(call: &Call, has_kv_cache: bool) -> Option<(UpstreamEntry, u64)> {
     let context = call.choice_context();
     let state = call.gateway.state();
+    let turn = call.gateway.pace_turn(&state);
     let can_decode = |role| role != UpstreamRole::Prefill;
-    let candidates = state.candidates(&call.service, can_decode, &call.tried, context.now);
+    let candidates = state.candidates(&call.service, can_decode, &call.tried, context.now, turn.as_ref());
     let chosen = match &call.head.prompt {
         Some(prompt) if !has_kv_cache => pick_prefill(&candidates, prompt, context),
         _ => pick_decode(&candidates, context, rand::rng().random()).map(|entry| (entry, 0)),
--- a/marigoldlock_core/src/gateway/outcome.rs
+++ b/marigoldlock_core/src/gateway/outcome.rs
@@ -11,6 +11,8 @@
 pub enum AttemptFailure {
     /// No connection could be opened; nothing was sent.
     NotSent,
+    /// The upstream's rate limit does not allow a request now; nothing was sent.
+    Limited,
     /// The upstream states that it did not run the request.
     NotRun,
     /// The address belongs to another upstream.
@@ -28,6 +30,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Limited => "limited",
             Self::NotRun => "not_run",
             Self::OtherUpstream => "other_upstream",
             Self::Broken => "broken",
@@ -36,6 +39,11 @@
         }
     }
 
+    /// True if nothing was sent.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::NotSent | Self::Limited)
+    }
+
     /// True if the request may have run.
     pub fn may_have_run(self) -> bool {
         matches!(self, Self::Broken | Self::TimedOut | Self::Errored)
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -10,7 +10,7 @@
 use crate::time::MonoTime;
 
 use super::adapter::LoadReport;
-use super::pace::StatedLimit;
+use super::pace::{LimitStatement, PaceTurn, StatedLimit};
 use super::prefix::PrefixSet;
 
 /// Consecutive failures after which an upstream is ejected.
@@ -55,6 +55,13 @@
     }
 }
 
+impl UpstreamKey {
+    /// Index below `count` that is the same on all instances.
+    pub fn index(self, count: usize) -> usize {
+        self.0 as usize % count.max(1)
+    }
+}
+
 /// Work that one or more instances have at an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct WorkInFlight {
@@ -102,19 +109,23 @@
         self.report = Some((report, now));
     }
 
-    /// Records whether a response states a limit, and which. `sent_at` is when its request was sent: a response
-    /// without a limit ends one only if the upstream knew of the limit when it answered. Returns true if the limit
-    /// changed.
-    pub fn record_limit(&mut self, rate: Option<f64>, sent_at: MonoTime, now: MonoTime) -> bool {
+    /// Records what a response says of the upstream's rate limit; returns true if the limit changed.
+    pub fn record_limit(&mut self, statement: &LimitStatement) -> bool {
         let before = self.rate_limit();
-        match rate {
-            Some(rate) => self.limit = Some(StatedLimit::new(rate, now)),
-            None if self.limit.is_some_and(|limit| limit.is_older_than(sent_at)) => self.limit = None,
-            None => {}
-        }
+        self.limit = StatedLimit::update(self.limit, statement);
         before != self.rate_limit()
     }
 
+    /// Time until this instance may send a request within the upstream's rate limit; zero if it may now.
+    pub fn limit_wait(&self, turn: &PaceTurn) -> Duration {
+        self.limit.map_or(Duration::ZERO, |limit| limit.wait(turn))
+    }
+
+    /// Counts a request against the upstream's rate limit; returns false if the limit doesn't allow it now.
+    pub fn start_request(&mut self, turn: &PaceTurn) -> bool {
+        self.limit.as_mut().is_none_or(|limit| limit.use_grant(turn))
+    }
+
     /// Requests per second that the upstream takes from all instances together, if it states a limit.
     pub fn rate_limit(&self) -> Option<f64> {
         self.limit.map(|limit| limit.rate())
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod load;
 mod members;
+mod pace;
 mod requests;
 mod upstreams;
 
