Check the retry budget in the soak, with upstreams that state rate limits among its faults

Neither the soak nor a test counted what arrives at upstreams, which is why the budget's faults were not seen. Evidence: repeats_beyond_the_retry_budget_are_reported shows that the check sees an excess. Ruled out: checking stated limits in the soak; kills, pauses and delayed links excuse instances, and what is left over is what platform_limits checks.

--- /dev/null
+++ b/marigoldlock_fleet/src/soak/budget.rs
@@ -0,0 +1,60 @@
+//! Check of the fleet's retry budget, from what callers sent and upstreams received.
+
+use std::time::{Duration, Instant};
+
+use marigoldlock_standin::site::ArrivalRecord;
+use marigoldlock_wire::prelude::*;
+
+/// Retries that the settings file allows per request.
+pub const RETRY_RATIO: f64 = 0.2;
+
+/// Additional retries per window; few, so that the soak reaches the limit.
+pub const RETRY_SLACK: f64 = 10.0;
+
+/// Length of the sliding window.
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// Times at which one service's requests were sent and its upstreams received repeats.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatRecord {
+    /// When callers sent requests.
+    pub requests: Vec<Instant>,
+    /// When upstreams received a request beyond the first of its attempt.
+    pub repeats: Vec<Instant>,
+}
+
+impl RepeatRecord {
+    /// Finds the repeats among a service's arrivals. The first accepted prefill of an attempt is none.
+    pub fn record_arrivals(&mut self, mut arrivals: Vec<ArrivalRecord>) {
+        arrivals.sort_by_key(|arrival| arrival.at);
+        let (mut prefilled, mut seen) = (FastSet::default(), FastSet::default());
+        for arrival in arrivals {
+            let is_free_prefill =
+                arrival.is_prefill && arrival.is_accepted && prefilled.insert(arrival.attempt.clone());
+            if !is_free_prefill && !seen.insert(arrival.attempt) {
+                self.repeats.push(arrival.at);
+            }
+        }
+    }
+
+    /// Describes the first window with more repeats than allowed. The requests are counted in that window, the one
+    /// before it or the one half a window before it, whichever has most.
+    pub fn find_excess(&self) -> Option<String> {
+        let count = |times: &[Instant], from: Instant| {
+            let window = from..from + RETRY_WINDOW;
+            times.iter().filter(|time| window.contains(time)).count()
+        };
+        self.repeats.iter().find_map(|start| {
+            let starts = [0, 1, 2].map(|halves| start.checked_sub(RETRY_WINDOW / 2 * halves));
+            let requests = starts
+                .iter()
+                .flatten()
+                .map(|from| count(&self.requests, *from))
+                .max()?;
+            let repeats = count(&self.repeats, *start);
+            let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
+            (repeats as f64 > allowed)
+                .then(|| format!("{repeats} repeats of {requests} requests, {allowed:.0} allowed"))
+        })
+    }
+}
--- a/marigoldlock_fleet/src/soak/caller.rs
+++ b/marigoldlock_fleet/src/soak/caller.rs
@@ -45,6 +45,10 @@
 pub struct CallRecord {
     /// Id of the attempt.
     pub attempt: String,
+    /// Service that serves the request.
+    pub service: &'static str,
+    /// When the request was sent.
+    pub sent_at: Instant,
     /// True if the request may run at most once.
     pub is_booking: bool,
     /// True if the request was sent with `UNKNOWN_KEY`.
@@ -140,7 +144,8 @@
             };
             let attempt = format!("c{}-{}", self.number, records.len());
             let has_unknown_key = self.random.random_bool(0.03);
-            let path = ["/draft/x", "/look/x", "/book/x"][self.random.random_range(0..3)];
+            let (path, service) =
+                [("/draft/x", "llm"), ("/look/x", "app"), ("/book/x", "app")][self.random.random_range(0..3)];
             let key = if has_unknown_key { UNKNOWN_KEY } else { SITE_KEY };
             let is_after_recovery = self.is_after_recovery.load(Ordering::Relaxed);
             let parts = format!(
@@ -148,6 +153,7 @@
                 self.random.random_range(1..40),
                 records.len()
             );
+            let sent_at = Instant::now();
             let answer = caller.send_prompt(front, path, &attempt, key, &parts);
             let outcome = match tokio::time::timeout(ANSWER_TIMEOUT, read_outcome(answer, path)).await {
                 Ok(outcome) => outcome,
@@ -155,6 +161,8 @@
             };
             records.push(CallRecord {
                 attempt,
+                service,
+                sent_at,
                 is_booking: path.starts_with("/book"),
                 has_unknown_key,
                 is_after_recovery,
--- a/marigoldlock_fleet/src/soak/fault.rs
+++ b/marigoldlock_fleet/src/soak/fault.rs
@@ -65,6 +65,8 @@
     RunnerCrossed(usize),
     /// An upstream's streams end early.
     RunnerBreaks(usize),
+    /// An upstream states that it takes two requests per second from all instances together.
+    RunnerLimited(usize),
     /// An upstream announces that it is draining, and returns as a new start.
     RunnerLeaves(usize),
     /// A new version of the settings is published.
@@ -146,7 +148,7 @@
         2 => LinkMode::OneWay,
         _ => LinkMode::Silent,
     };
-    match random.random_range(0..24) {
+    match random.random_range(0..25) {
         0..3 => Fault::Kill(instance),
         3..5 => Fault::Terminate(instance),
         5..7 => Fault::Pause(instance),
@@ -164,6 +166,7 @@
         20 => Fault::RunnerLosesAnswers(upstream),
         21 => Fault::RunnerCrossed(upstream),
         22 => Fault::RunnerBreaks(upstream),
+        23 => Fault::RunnerLimited(upstream),
         _ => match random.random_range(0..2) {
             0 => Fault::RunnerLeaves(upstream),
             _ => Fault::NewSettings,
@@ -230,6 +233,9 @@
             Fault::RunnerBreaks(index) => {
                 self.upstreams[index].set_faults(|faults| faults.cut_stream_after = is_active.then_some(2));
             }
+            Fault::RunnerLimited(index) => {
+                self.upstreams[index].set_faults(|faults| faults.rate_limit = is_active.then_some(2.0));
+            }
             Fault::RunnerLeaves(index) => self.publish_upstream_entry(index, is_active),
             Fault::NewSettings if is_active => {
                 self.settings_version += 3;
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -8,6 +8,7 @@
 //! system's invariants. Everything random is derived from the seed; only the timing of tasks and processes
 //! differs between runs.
 
+mod budget;
 mod caller;
 mod fault;
 mod process;
@@ -29,6 +30,7 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
+use budget::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
 use caller::CallerGroup;
 use fault::{FaultPlan, PlannedFault};
 use process::{InstanceProcess, loopback_address};
@@ -180,7 +182,10 @@
             let link = LinkProxy::start(store.open_endpoint().await?).await?;
             let ip = loopback_address(options.seed, number);
             let name = format!("n{number}");
-            let file = instance_file_at(&name, ip, link.address(), duties.address());
+            let mut file = instance_file_at(&name, ip, link.address(), duties.address());
+            file["Bounds"]["RetryRatio"] = RETRY_RATIO.into();
+            file["Bounds"]["RetrySlack"] = RETRY_SLACK.into();
+            file["Bounds"]["BudgetWindowS"] = RETRY_WINDOW.as_secs().into();
             let path = options.folder.join(format!("{name}.json"));
             std::fs::write(&path, file.to_string())?;
             let log = options.folder.join(format!("{name}.log"));
@@ -232,6 +237,8 @@
             for run in upstream.runs() {
                 record.record_run(&run);
             }
+            let arrivals = record.arrivals.entry(upstream.service().to_owned()).or_default();
+            arrivals.extend(upstream.arrivals());
         }
         for instance in self.instances {
             record.unexpected_exits.extend(instance.close().await);
--- a/marigoldlock_fleet/src/soak/record.rs
+++ b/marigoldlock_fleet/src/soak/record.rs
@@ -2,9 +2,10 @@
 
 use std::fmt::{self, Display, Formatter};
 
-use marigoldlock_standin::site::{RunRecord, SITE_BODY};
+use marigoldlock_standin::site::{ArrivalRecord, RunRecord, SITE_BODY};
 use marigoldlock_wire::prelude::*;
 
+use super::budget::RepeatRecord;
 use super::caller::{CallOutcome, CallRecord};
 use super::fault::PlannedFault;
 use super::{MIN_SERVED_SHARE, Violation};
@@ -14,6 +15,8 @@
 pub struct SiteRecord {
     /// Number of runs of each attempt, without prefill runs.
     pub runs: FastMap<String, u32>,
+    /// Requests that arrived at the upstreams of each service.
+    pub arrivals: FastMap<String, Vec<ArrivalRecord>>,
     /// Runs whose request differed from what the caller sent.
     pub changed_runs: Vec<String>,
     /// Usage windows that were reported again with different counts.
@@ -120,6 +123,18 @@
             report("a request with an unknown key does not run", describe());
         }
     }
+    for (service, arrivals) in &site.arrivals {
+        let mut record = RepeatRecord::default();
+        let own = calls.iter().filter(|call| call.service == service);
+        record.requests.extend(own.map(|call| call.sent_at.into_std()));
+        record.record_arrivals(arrivals.clone());
+        if let Some(excess) = record.find_excess() {
+            report(
+                "retries stay within the fleet's budget",
+                format!("{service}: {excess}"),
+            );
+        }
+    }
     for run in &site.changed_runs {
         report(
             "an upstream gets the unchanged request with its customer and without its key",
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use marigoldlock_standin::site::ArrivalRecord;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::time::Instant;
 
+use super::budget::RepeatRecord;
 use super::caller::{CallOutcome, CallRecord};
 use super::fault::FaultPlan;
 use super::record::{SiteRecord, SoakReport};
@@ -12,6 +15,8 @@
 fn call(attempt: &str, outcome: CallOutcome) -> CallRecord {
     CallRecord {
         attempt: attempt.into(),
+        service: "app",
+        sent_at: Instant::now(),
         is_booking: true,
         has_unknown_key: false,
         is_after_recovery: true,
@@ -110,6 +115,37 @@
     );
 }
 
+#[test]
+fn repeats_beyond_the_retry_budget_are_reported() {
+    let start = std::time::Instant::now();
+    let arrival = |number: u64, is_prefill| ArrivalRecord {
+        attempt: format!("s{}", number / 3),
+        is_prefill,
+        is_accepted: true,
+        at: start + Duration::from_millis(number),
+    };
+    let excess = |requests: u64| {
+        let mut record = RepeatRecord::default();
+        // Each attempt sends a free prefill, a run and a repeat.
+        record.record_arrivals((0..36).map(|number| arrival(number, number % 3 == 0)).collect());
+        record.requests = (0..requests)
+            .map(|number| start + Duration::from_millis(number))
+            .collect();
+        record.find_excess()
+    };
+    assert_eq!(excess(10), None, "12 repeats, 10 + 10 / 5 allowed");
+    assert_eq!(excess(9).unwrap(), "12 repeats of 9 requests, 12 allowed");
+    let mut site = site(&[("b0", 1)]);
+    site.arrivals.insert(
+        "app".into(),
+        (0..60).map(|number| arrival(number, false)).collect(),
+    );
+    assert_eq!(
+        violated_invariants(&[call("b0", CallOutcome::Answered)], site).len(),
+        1
+    );
+}
+
 #[test]
 fn a_seed_always_gives_the_same_faults() {
     let plan = |seed| {
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -144,6 +144,11 @@
         &self.state.options.id
     }
 
+    /// Service that the upstream belongs to.
+    pub fn service(&self) -> &str {
+        &self.state.options.service
+    }
+
     /// Changes the faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut UpstreamFaults)) {
         change(&mut lock(&self.state.faults));
