Leave an upstream alone for as long as it asks

Callers saw: nothing at first; a full upstream that had asked to be left alone went on being tried, which kept it full. Cause: the time that an upstream names when it turns a request away ended at the adapter, like the rate limits before; the gateway followed a back-off of its own, and none if no other upstream was left. Ruled out: a cap on the named time; a restart of the upstream ends it, and trying it earlier breaks the platform's rule. Open: prefilling for a decode engine that closes in the meantime.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -280,6 +280,14 @@
             .attempt_id
             .as_ref()
             .is_some_and(|id| *id != self.head.attempt_id);
+        if let Some(after) = head.retry_after.filter(|_| !head.is_other_upstream) {
+            log::info!(upstream:% = entry.id, after_ms = after.as_millis() as u64; "the upstream wants no requests for a time");
+            let now = self.gateway.now();
+            self.gateway
+                .state()
+                .upstream(&entry.id)
+                .record_retry_after(after, now);
+        }
         // A late response to another request may be older than the limit, but it can't name one that isn't there.
         if !head.is_other_upstream && (head.rate_limit.is_some() || !is_mismatched) {
             self.record_limit(entry, &response);
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -33,9 +33,9 @@
 /// requests take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Longest time after which a caller may retry if upstreams' rate limits leave no room: other instances have their
-/// turns in the meantime.
-const MAX_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// Longest time after which a caller may retry if the upstreams take no request from this instance: other instances
+/// may be served in the meantime.
+const MAX_STATED_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Time after which a caller may retry if the instance has no settings yet.
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(600);
@@ -238,10 +238,10 @@
     pub fn refusal(&self) -> Refusal {
         let refusal = Refusal::new(self.attempts.refusal(self.time_left().is_zero()));
         if refusal.cause == RefusalCause::NoUpstream
-            && let Some(wait) = self.limit_wait()
+            && let Some(wait) = self.send_wait()
         {
             return Refusal::new(RefusalCause::Busy)
-                .retry_after(wait.clamp(RETRY_AFTER, MAX_LIMIT_RETRY_AFTER));
+                .retry_after(wait.clamp(RETRY_AFTER, MAX_STATED_RETRY_AFTER));
         }
         if refusal.cause.is_not_run() {
             refusal.retry_after(RETRY_AFTER)
@@ -250,17 +250,18 @@
         }
     }
 
-    /// Shortest time until an upstream's rate limit allows a request from here; `None` if none of the service's
-    /// upstreams states one.
-    fn limit_wait(&self) -> Option<Duration> {
+    /// Shortest time until one of the upstreams that take no request now, by their own word, takes one from here;
+    /// `None` if there is none.
+    fn send_wait(&self) -> Option<Duration> {
+        let now = self.gateway.now();
         let state = self.gateway.state();
-        let turn = self.gateway.pace_turn(&state)?;
-        let limited = state
+        let turn = self.gateway.pace_turn(&state);
+        let waits = state
             .catalog
             .usable(&self.service)
             .filter_map(|entry| state.upstreams.get(&entry.id))
-            .filter(|upstream| upstream.rate_limit().is_some());
-        limited.map(|upstream| upstream.limit_wait(&turn)).min()
+            .map(|upstream| upstream.send_wait(now, turn.as_ref()));
+        waits.filter(|wait| !wait.is_zero()).min()
     }
 
     /// Builds the response for a refused request.
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -93,7 +93,8 @@
     }
 
     /// Upstreams of a service that may be sent a request now, with their state; if none is healthy, all that
-    /// are listed. Upstreams that are changing their role, or whose rate limit allows no request, are left out.
+    /// are listed. Upstreams that are changing their role, or that take no request now by their own word, are left
+    /// out.
     pub fn candidates<'a>(
         &'a self,
         service: &'a ServiceId,
@@ -117,7 +118,7 @@
                 let state = self.upstreams.get(&entry.id)?;
                 Some(Candidate { entry, state })
             })
-            .filter(|candidate| turn.is_none_or(|turn| candidate.state.limit_wait(turn).is_zero()))
+            .filter(|candidate| candidate.state.send_wait(now, turn).is_zero())
             .collect();
         let healthy: Vec<Candidate<'a>> = listed
             .iter()
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -86,6 +86,8 @@
     pub prefix: PrefixSet,
     report: Option<(LoadReport, MonoTime)>,
     limit: Option<StatedLimit>,
+    /// End of the time for which the upstream wants no requests.
+    closed_until: MonoTime,
     failures: u32,
     ejected_until: MonoTime,
     full_until: MonoTime,
@@ -116,9 +118,16 @@
         before != self.rate_limit()
     }
 
-    /// Time until this instance may send a request within the upstream's rate limit; zero if it may now.
-    pub fn limit_wait(&self, turn: &PaceTurn) -> Duration {
-        self.limit.map_or(Duration::ZERO, |limit| limit.wait(turn))
+    /// Records that the upstream wants no requests from this instance for a time.
+    pub fn record_retry_after(&mut self, after: Duration, now: MonoTime) {
+        self.closed_until = self.closed_until.max(now + after);
+    }
+
+    /// Time until the upstream takes a request from this instance, by what it has stated itself; zero if it takes one
+    /// now. `turn` is the instance's turn if any upstream states a rate limit.
+    pub fn send_wait(&self, now: MonoTime, turn: Option<&PaceTurn>) -> Duration {
+        let limit_wait = self.limit.zip(turn).map(|(limit, turn)| limit.wait(turn));
+        self.closed_until.since(now).max(limit_wait.unwrap_or_default())
     }
 
     /// Counts a request against the upstream's rate limit; returns false if the limit doesn't allow it now.
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -12,6 +12,17 @@
     catalog.usable(&ServiceId::from("llm")).count()
 }
 
+#[test]
+fn an_upstream_that_wants_no_requests_for_a_time_takes_none_until_its_end() {
+    let mut state = UpstreamState::default();
+    state.record_retry_after(millis(2_000), at(0));
+    // A shorter time, named for a request that was under way, does not end the longer one.
+    state.record_retry_after(millis(500), at(100));
+    state.record_success(at(200));
+    assert_eq!(state.send_wait(at(1_000), None), millis(1_000));
+    assert_eq!(state.send_wait(at(2_000), None), millis(0));
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_requests_and_returns_only_after_a_restart() {
     let mut catalog = UpstreamCatalog::default();
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -43,6 +43,8 @@
     pub crosses_answers: bool,
     /// Requests run but are refused with 503, without the header that marks them as not executed.
     pub refuses_after_run: bool,
+    /// Seconds that a refusal names in `Retry-After`.
+    pub retry_after: Option<f64>,
     /// Requests per second that every answer states as the upstream's limit.
     pub rate_limit: Option<f64>,
     /// Duration of a request.
@@ -270,7 +272,14 @@
         return respond(StatusCode::MISDIRECTED_REQUEST, &[("Not-Executed", "1")], "");
     }
     if faults.rejects_requests {
-        return respond(StatusCode::SERVICE_UNAVAILABLE, &[("Not-Executed", "1")], "");
+        let mut refusal = respond(StatusCode::SERVICE_UNAVAILABLE, &[("Not-Executed", "1")], "");
+        if let Some(value) = faults
+            .retry_after
+            .and_then(|seconds| seconds.to_string().parse().ok())
+        {
+            refusal.headers_mut().insert("retry-after", value);
+        }
+        return refusal;
     }
     let last_event = text(headers, "last-event-id").and_then(|id| id.parse().ok());
     lock(&state.runs).push(RunRecord {
