Send nothing more to an upstream whose answers say that it leaves

Callers saw: requests sent to an upstream right before it stops could be cut; the platform counts them per instance that was told. Cause: the notice in an answer ended at the adapter; only the store's entry made an upstream a leaving one. A late answer of a process that has been replaced changes nothing. Ruled out: removing the entry; the store would list it again. Open: other instances aren't told; each learns it from its own answers or from the store.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -280,6 +280,9 @@
             .attempt_id
             .as_ref()
             .is_some_and(|id| *id != self.head.attempt_id);
+        if head.is_leaving && !head.is_other_upstream && self.gateway.state().catalog.record_leaving(entry) {
+            log::info!(upstream:% = entry.id; "the upstream says that it is leaving; it gets no more requests");
+        }
         if let Some(after) = head.retry_after.filter(|_| !head.is_other_upstream) {
             log::info!(upstream:% = entry.id, after_ms = after.as_millis() as u64; "the upstream wants no requests for a time");
             let now = self.gateway.now();
--- a/marigoldlock/tests/platform_notices.rs
+++ b/marigoldlock/tests/platform_notices.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_support::Site;
+use platform_support::{Site, wait_until};
 
 /// Time that the upstreams ask to be left alone.
 const RETRY_AFTER: Duration = Duration::from_millis(1_500);
@@ -51,3 +51,33 @@
     tokio::time::sleep(RETRY_AFTER).await;
     assert_eq!(site.send(0, "/look/x", "again").await.status(), 200);
 }
+
+/// Guards against requests to an upstream whose answers say that it is leaving, while the store still lists it.
+#[tokio::test]
+async fn an_upstream_whose_answers_say_that_it_leaves_gets_no_more_requests() {
+    let site = Site::start(1).await;
+    for id in ["a1", "d1"] {
+        site.runner(id).set_faults(|faults| faults.says_leaving = true);
+    }
+    for number in 0..24 {
+        for path in ["/look/x", "/draft/x"] {
+            let answer = site.send(0, path, &format!("{path}{number}")).await;
+            assert_eq!(answer.status(), 200);
+            answer.text().await.unwrap();
+        }
+    }
+    for id in ["a1", "d1"] {
+        assert_eq!(site.runner(id).arrivals().len(), 1, "requests that reached {id}");
+    }
+    // The same process may be listed as ready for some time; only a new one takes requests again.
+    site.store
+        .put_upstream("a1", Some(&site.runner("a1").entry("ready")));
+    let mut restarted = site.runner("d1").entry("ready");
+    restarted["born"] = 2.into();
+    site.store.put_upstream("d1", Some(&restarted));
+    site.runner("d1").set_faults(|faults| faults.says_leaving = false);
+    wait_until("the restart is known", || {
+        site.instances[0].usable_upstreams() == 4
+    })
+    .await;
+}
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -119,6 +119,8 @@
     pub is_other_upstream: bool,
     /// Load at the time of the response.
     pub load: Option<LoadReport>,
+    /// True if the upstream says that it is leaving.
+    pub is_leaving: bool,
     /// Time for which the upstream wants no more requests from this instance.
     pub retry_after: Option<Duration>,
     /// Requests per second that the upstream takes from all instances together, while it states a limit.
--- a/marigoldlock_core/src/gateway/catalog.rs
+++ b/marigoldlock_core/src/gateway/catalog.rs
@@ -122,6 +122,20 @@
         }
     }
 
+    /// Records that an upstream itself says that it is leaving; `entry` is the one to which the request was sent.
+    /// Returns true if that is new. An upstream that has started again in the meantime isn't meant.
+    pub fn record_leaving(&mut self, entry: &UpstreamEntry) -> bool {
+        let Some(listed) = self.listed.get_mut(&entry.id) else {
+            return false;
+        };
+        if listed.entry.is_leaving || listed.entry.started_ms != entry.started_ms {
+            return false;
+        }
+        listed.entry.is_leaving = true;
+        self.departed.insert(entry.id.clone(), entry.started_ms);
+        true
+    }
+
     /// Removes an entry; `store_recovered_at` is the time of the store's last recovery.
     pub fn remove(&mut self, id: &str, now: MonoTime, store_recovered_at: Option<MonoTime>) -> CatalogChange {
         let Some(listed) = self.listed.get_mut(id) else {
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -43,6 +43,26 @@
     assert_eq!(usable(&catalog), 1);
 }
 
+#[test]
+fn an_upstream_that_says_it_leaves_gets_no_requests_until_it_has_started_again() {
+    let mut catalog = UpstreamCatalog::default();
+    let before = entry("u1", "a", UpstreamRole::Whole);
+    catalog.put(before.clone());
+    assert!(catalog.record_leaving(&before));
+    assert!(!catalog.record_leaving(&before), "known already");
+    // The store still lists the same process as ready.
+    catalog.put(before.clone());
+    assert_eq!(usable(&catalog), 0);
+    let mut again = before.clone();
+    again.started_ms = Some(2);
+    catalog.put(again);
+    assert!(
+        !catalog.record_leaving(&before),
+        "a late answer of the old process"
+    );
+    assert_eq!(usable(&catalog), 1);
+}
+
 #[test]
 fn an_entry_that_lapsed_in_a_store_outage_expires_after_its_ttl() {
     let mut catalog = UpstreamCatalog::default();
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -7,7 +7,7 @@
 use axum::Router;
 use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
-use axum::http::{HeaderMap, Response, StatusCode};
+use axum::http::{HeaderMap, HeaderValue, Response, StatusCode};
 use futures::StreamExt as _;
 use serde_json::{Value, json};
 
@@ -43,6 +43,8 @@
     pub crosses_answers: bool,
     /// Requests run but are refused with 503, without the header that marks them as not executed.
     pub refuses_after_run: bool,
+    /// Every answer says that the upstream is leaving.
+    pub says_leaving: bool,
     /// Seconds that a refusal names in `Retry-After`.
     pub retry_after: Option<f64>,
     /// Requests per second that every answer states as the upstream's limit.
@@ -240,8 +242,17 @@
 }
 
 async fn run(state: &UpstreamState, headers: &HeaderMap, path: &str, body: Bytes) -> Response<Body> {
-    let rate_limit = lock(&state.faults).rate_limit;
+    let UpstreamFaults {
+        rate_limit,
+        says_leaving,
+        ..
+    } = lock(&state.faults).clone();
     let mut response = answer(state, headers, path, body).await;
+    if says_leaving {
+        response
+            .headers_mut()
+            .insert("server-leaving", HeaderValue::from_static("1"));
+    }
     if let Some(value) = rate_limit.and_then(|rate| rate.to_string().parse().ok()) {
         response.headers_mut().insert("server-limit", value);
     }
