Keep the ports of unreachable upstreams bound in a test

Change: the ports stay bound without a listener, so connections to them are refused for the whole test. The check is as strict as before. Not reproduced before: 30 runs of the test alone and 14 of the file beside less load passed.

--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -193,12 +193,16 @@
 #[tokio::test]
 async fn a_prompt_moves_from_an_unreachable_prefill_upstream_to_another() {
     let site = Site::start(1).await;
-    // Two more prefill upstreams are listed, but nothing listens at their addresses.
+    // Two more prefill upstreams are listed, but nothing listens at their addresses. Their ports stay bound, so that no
+    // other test's server gets them.
+    let mut bound = Vec::new();
     for id in ["x1", "x2"] {
-        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let closed = tokio::net::TcpSocket::new_v4().unwrap();
+        closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let mut entry = site.runner("p1").entry("ready");
         entry["Address"] = closed.local_addr().unwrap().to_string().into();
         site.store.put_upstream(id, Some(&entry));
+        bound.push(closed);
     }
     wait_until("the upstreams are listed", || {
         site.instances[0].usable_upstreams() == 7
