Do not take an instance's start for a recovery of the store

Callers saw: requests sent to upstreams that had gone three seconds before. Cause: entries that vanish right after the store has recovered from an outage may have lapsed and are kept for 1.6 s. The first answer of the store to a new process was recorded as a recovery and reported to all, so for two seconds after any start all instances kept upstreams that had gone; together with a late change that exceeds the bound. Change: StoreHealth in the core; the first answer is a recovery only if calls have failed before it.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -102,7 +102,7 @@
             (
                 holders.max(),
                 view.is_successor(),
-                state.is_store_reachable && view.is_first_successor(),
+                state.store.is_reachable() && view.is_first_successor(),
                 state.duty_state.next_offset(),
             )
         };
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -319,18 +319,14 @@
 fn record_store_success(gateway: &Gateway, stream: StoreStream) {
     let now = gateway.now();
     let mut state = gateway.state();
-    state.store_response_at = Some(now);
-    if !state.is_store_reachable {
-        state.is_store_reachable = true;
-        state.store_recovered_at = Some(now);
+    if state.store.record_response(now) {
         log::info!(stream:%; "store reachable");
     }
 }
 
 fn record_store_failure(gateway: &Gateway, stream: StoreStream, err: &StoreError) {
     let mut state = gateway.state();
-    if state.is_store_reachable {
-        state.is_store_reachable = false;
+    if state.store.record_failure() {
         log::warn!(stream:%, error:% = err; "store unreachable; known settings and upstreams stay in force");
     }
 }
--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -176,8 +176,11 @@
         stage: state.stage,
         sync_state: state.sync_state(),
         store: StoreContact {
-            response_age_ms: age_ms(state.store_response_at.filter(|_| state.is_store_reachable), now),
-            recovery_age_ms: age_ms(state.store_recovered_at, now),
+            response_age_ms: age_ms(
+                state.store.response_at().filter(|_| state.store.is_reachable()),
+                now,
+            ),
+            recovery_age_ms: age_ms(state.store.recovered_at(), now),
         },
         duty_fence: state.duty_fence,
         changing: state.changing.iter().cloned().collect(),
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::queue::PrefillQueue;
 use marigoldlock_core::gateway::state::UpstreamState;
+use marigoldlock_core::gateway::store_health::StoreHealth;
 use marigoldlock_core::gateway::usage::UsageCounts;
 use marigoldlock_core::prelude::*;
 
@@ -72,15 +73,11 @@
     pub prefill_rates: FastMap<ServiceId, PrefillRate>,
     /// Heartbeat rounds since the start; the sequence number of the last report.
     pub reports_sent: u64,
-    /// Time of the store's last response.
-    pub store_response_at: Option<MonoTime>,
-    /// Time of the store's last recovery as seen by this instance; `None` before the first one.
-    pub store_recovered_at: Option<MonoTime>,
+    /// Contact with the store.
+    pub store: StoreHealth,
     /// True while other instances have newer settings or upstreams and fetching them from there does not
     /// succeed.
     pub is_sync_stalled: bool,
-    /// False while calls to the store fail.
-    pub is_store_reachable: bool,
 }
 
 impl GatewayState {
@@ -164,7 +161,8 @@
     /// Time of the store's last recovery as seen by any instance.
     pub fn last_store_recovery(&self, own: &MemberCard, now: MonoTime) -> Option<MonoTime> {
         let members = &self.members;
-        self.store_recovered_at
+        self.store
+            .recovered_at()
             .max(FleetView { own, members, now }.store_recovered_at())
     }
 
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -686,3 +686,38 @@
     .await;
     fakes.abort();
 }
+
+/// Guards against requests to upstreams that are gone: the start of any instance counted as a recovery of the store, after
+/// which removed entries are kept for a while.
+#[tokio::test]
+async fn an_upstream_removed_while_an_instance_starts_is_dropped_at_once() {
+    let mut site = Site::start(1).await;
+    site.start_instance(1).await.unwrap();
+    wait_until("the instances discover each other", || {
+        site.instances[0].live_members() == 1
+    })
+    .await;
+    site.store.put_upstream("a1", None);
+    for id in ["x1", "x2"] {
+        site.store
+            .put_upstream(id, Some(&site.runner("a2").entry("ready")));
+    }
+    for instance in &site.instances {
+        wait_until("the new upstreams are listed", || {
+            instance.usable_upstreams() >= 6
+        })
+        .await;
+    }
+    site.store.put_settings(&site_settings(20));
+    for instance in &site.instances {
+        wait_until("later settings are in force", || {
+            instance.settings_version() == 20
+        })
+        .await;
+        assert_eq!(
+            instance.usable_upstreams(),
+            6,
+            "a1 is gone, and the store has had no outage"
+        );
+    }
+}
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod roles;
 pub mod route;
 pub mod state;
+pub mod store_health;
 pub mod usage;
 
 #[cfg(test)]
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -7,6 +7,7 @@
 use crate::gateway::catalog::{CatalogChange, LAPSED_ENTRY_TTL, UpstreamCatalog, UpstreamRole};
 use crate::gateway::prefix::PrefixSet;
 use crate::gateway::state::UpstreamState;
+use crate::gateway::store_health::StoreHealth;
 
 fn usable(catalog: &UpstreamCatalog) -> usize {
     catalog.usable(&ServiceId::from("llm")).count()
@@ -84,6 +85,21 @@
     assert_eq!(usable(&catalog), 1);
 }
 
+#[test]
+fn the_first_response_of_the_store_is_a_recovery_only_after_failed_calls() {
+    let mut health = StoreHealth::default();
+    assert!(health.record_response(at(0)));
+    assert_eq!((health.is_reachable(), health.recovered_at()), (true, None));
+    assert!(health.record_failure());
+    assert!(!health.record_failure(), "known already");
+    assert!(health.record_response(at(900)));
+    assert_eq!(health.recovered_at(), Some(at(900)));
+    let mut started_in_outage = StoreHealth::default();
+    started_in_outage.record_failure();
+    started_in_outage.record_response(at(500));
+    assert_eq!(started_in_outage.recovered_at(), Some(at(500)));
+}
+
 #[test]
 fn a_removal_without_a_store_outage_takes_effect_at_once() {
     let mut catalog = UpstreamCatalog::default();
