Name the time until the first upstream opens in every refusal that has not run

Cause: a request that was turned away by its last upstream was told 300 ms although every upstream had asked to be left alone for longer; only requests that found no upstream got the longer time. And each response computed the fleet's time, although few upstreams state a limit. Change: one rule for all refusals as not run: the time until the first of the service's upstreams takes a request, if none does now. The fleet's time is computed only for upstreams that state a limit. Ruled out: naming a time while one upstream is open; the refusal then has another reason.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -110,7 +110,8 @@
         result
     }
 
-    /// Counts the request against the upstream's rate limit; returns false if that doesn't allow it now.
+    /// Counts the request against the upstream's rate limit, if it states one; returns false if that doesn't allow the
+    /// request now.
     fn start_request(&self, entry: &UpstreamEntry, permit: &SendPermit) -> bool {
         let mut state = self.gateway.state();
         let Some(turn) = self.gateway.pace_turn(&state) else {
@@ -252,6 +253,9 @@
     /// Records the rate limit that the upstream states, or no longer states.
     fn record_limit(&self, entry: &UpstreamEntry, response: &UpstreamResponse) {
         let rate = response.head.rate_limit;
+        if rate.is_none() && self.gateway.state().upstream(&entry.id).rate_limit().is_none() {
+            return;
+        }
         let statement = LimitStatement {
             upstream: UpstreamKey::from(&entry.id),
             rate,
@@ -280,6 +284,7 @@
             .attempt_id
             .as_ref()
             .is_some_and(|id| *id != self.head.attempt_id);
+        // What an upstream says of itself holds whether or not the response is usable, unless another one has answered.
         if head.is_leaving && !head.is_other_upstream && self.gateway.state().catalog.record_leaving(entry) {
             log::info!(upstream:% = entry.id; "the upstream says that it is leaving; it gets no more requests");
         }
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -236,22 +236,19 @@
 
     /// Refusal to return if the request is not sent again.
     pub fn refusal(&self) -> Refusal {
-        let refusal = Refusal::new(self.attempts.refusal(self.time_left().is_zero()));
-        if refusal.cause == RefusalCause::NoUpstream
-            && let Some(wait) = self.send_wait()
-        {
-            return Refusal::new(RefusalCause::Busy)
-                .retry_after(wait.clamp(RETRY_AFTER, MAX_STATED_RETRY_AFTER));
+        let cause = self.attempts.refusal(self.time_left().is_zero());
+        if !cause.is_not_run() {
+            return Refusal::new(cause);
         }
-        if refusal.cause.is_not_run() {
-            refusal.retry_after(RETRY_AFTER)
-        } else {
-            refusal
+        match (cause, self.send_wait()) {
+            (_, None) => Refusal::new(cause).retry_after(RETRY_AFTER),
+            (RefusalCause::NoUpstream, Some(wait)) => Refusal::new(RefusalCause::Busy).retry_after(wait),
+            (_, Some(wait)) => Refusal::new(cause).retry_after(wait),
         }
     }
 
-    /// Shortest time until one of the upstreams that take no request now, by their own word, takes one from here;
-    /// `None` if there is none.
+    /// Time to name to the caller if all upstreams take no request from here now, by their own word; `None` if one
+    /// does or none is known.
     fn send_wait(&self) -> Option<Duration> {
         let now = self.gateway.now();
         let state = self.gateway.state();
@@ -261,7 +258,8 @@
             .usable(&self.service)
             .filter_map(|entry| state.upstreams.get(&entry.id))
             .map(|upstream| upstream.send_wait(now, turn.as_ref()));
-        waits.filter(|wait| !wait.is_zero()).min()
+        let wait = waits.min().filter(|wait| !wait.is_zero())?;
+        Some(wait.clamp(RETRY_AFTER, MAX_STATED_RETRY_AFTER))
     }
 
     /// Builds the response for a refused request.
