Give each stream its own prompt in the test of leaving notices

All its streams had one prompt, so the engine that decoded the first had it in its cache and was chosen for all others; if that was d2, d1 never got the request that carries the notice. Ruled out: a fault of the notice; in the failing runs d1 got nothing at all. Change: each stream has a prompt of its own. The assertion is the same, one request and no more.

--- a/marigoldlock/tests/platform_notices.rs
+++ b/marigoldlock/tests/platform_notices.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use marigoldlock_standin::site::SITE_KEY;
 use platform_support::{Site, wait_until};
 
 /// Time that the upstreams ask to be left alone.
@@ -59,9 +60,17 @@
     for id in ["a1", "d1"] {
         site.runner(id).set_faults(|faults| faults.says_leaving = true);
     }
+    let front = site.instances[0].addresses().front;
     for number in 0..24 {
+        // Each prompt is new, since an engine that has a prompt in its cache is chosen again.
+        let parts = format!("{:x}:4000,{:x}:1000", 100 + number, 900 + number);
         for path in ["/look/x", "/draft/x"] {
-            let answer = site.send(0, path, &format!("{path}{number}")).await;
+            let attempt = format!("{path}{number}");
+            let answer = site
+                .caller
+                .send_prompt(front, path, &attempt, SITE_KEY, &parts)
+                .await
+                .unwrap();
             assert_eq!(answer.status(), 200);
             answer.text().await.unwrap();
         }
