--- a/marigoldlock_fleet/src/soak/budget.rs
+++ b/marigoldlock_fleet/src/soak/budget.rs
@@ -8,7 +8,7 @@
 /// Retries that the settings file allows per request.
 pub const RETRY_RATIO: f64 = 0.2;
 
-/// Additional retries per window; few, so that the soak reaches the limit.
+/// Additional retries per window.
 pub const RETRY_SLACK: f64 = 10.0;
 
 /// Length of the sliding window.
