Log upstreams that crash, and the shared prompt parts of failed attempts

Change: a broken response is followed by one attempt to connect; if that fails and the upstream is not leaving, it has crashed, and one line names the requests that broke off there. 'attempt failed' names the shared parts. Nothing is decided by it. Ruled out: to wait for the next request to find the upstream gone; the retry does not go there.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -150,6 +150,12 @@
     }
 }
 
+/// Ids of prompt parts as callers write them, separated by commas.
+fn part_ids(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 fn host(parts: &request::Parts) -> &str {
     let named = parts
         .headers
@@ -313,13 +319,17 @@
             _ => upstream.record_failure(now),
         };
         drop(state);
+        let parts = self.head.prompt.as_ref().map(PromptShape::shared_parts);
         log::info!(
             target: DECISION_TARGET,
             request = self.head.attempt_id, upstream:% = entry.id, failure = failure.as_str(), set_aside = is_ejected,
-            attempts = self.attempts.sent();
+            attempts = self.attempts.sent(), parts = part_ids(parts.unwrap_or_default());
             "attempt failed"
         );
         metrics::counter!("gateway_attempt_failures_total", "failure" => failure.as_str()).increment(1);
+        if failure == AttemptFailure::Broken {
+            self.check_crash(entry);
+        }
     }
 
     async fn serve_plain(mut self) -> Response<ResponseBody> {
--- a/marigoldlock/src/gateway/connections.rs
+++ b/marigoldlock/src/gateway/connections.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 
 /// Connect timeout: many round trips between any two data centres of a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Shortest time for which a connection stays unused between two requests.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/marigoldlock/src/gateway/crash_check.rs
@@ -0,0 +1,59 @@
+//! Tells an upstream's crash from a response that broke off for another reason.
+//!
+//! A connection also breaks if an upstream drops a response, or if the network resets it. An upstream that has
+//! crashed no longer accepts connections, so a broken response is followed by one attempt to connect. All responses
+//! that broke off at the upstream in the meantime share it.
+
+use std::sync::Arc;
+
+use marigoldlock_core::gateway::prelude::*;
+use tokio::net::TcpStream;
+
+use super::Gateway;
+use super::call::Call;
+use super::connections::CONNECT_TIMEOUT;
+
+/// A request whose response broke off at an upstream.
+#[derive(Clone, Debug)]
+pub struct BrokenAttempt {
+    /// The caller's id of the request.
+    pub request: String,
+}
+
+impl Call {
+    /// Checks whether the upstream has crashed under this request.
+    pub fn check_crash(&self, entry: &UpstreamEntry) {
+        let attempt = BrokenAttempt {
+            request: self.head.attempt_id.clone(),
+        };
+        let mut state = self.gateway.state();
+        let broken = state.broken_attempts.entry(entry.id.clone()).or_default();
+        broken.push(attempt);
+        let is_first = broken.len() == 1;
+        drop(state);
+        if is_first {
+            tokio::spawn(check_upstream(Arc::clone(&self.gateway), entry.clone()));
+        }
+    }
+}
+
+async fn check_upstream(gateway: Arc<Gateway>, entry: UpstreamEntry) {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await;
+    let mut state = gateway.state();
+    let broken = state.broken_attempts.remove(&entry.id).unwrap_or_default();
+    // An upstream that leaves stops as announced.
+    let is_listed = state
+        .catalog
+        .usable(&entry.service)
+        .any(|listed| listed.id == entry.id);
+    drop(state);
+    if matches!(connected, Ok(Ok(_))) || !is_listed {
+        return;
+    }
+    let requests: Vec<&str> = broken.iter().map(|attempt| attempt.request.as_str()).collect();
+    log::warn!(
+        upstream:% = entry.id, requests = requests.len(), under = requests.join(",");
+        "the upstream has crashed"
+    );
+    metrics::counter!("gateway_upstream_crashes_total").increment(1);
+}
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod catch_up;
 mod codec;
 mod connections;
+mod crash_check;
 mod cursor;
 mod duties;
 mod duty_log;
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -19,6 +19,8 @@
 use marigoldlock_core::gateway::usage::UsageCounts;
 use marigoldlock_core::prelude::*;
 
+use super::crash_check::BrokenAttempt;
+
 /// Record of an upstream as it is in the store, kept for instances that don't read the store.
 #[derive(Clone, Debug)]
 pub struct RawRecord {
@@ -49,6 +51,8 @@
     upstreams_digest: u64,
     /// Load and health of upstreams.
     pub upstreams: FastMap<UpstreamId, UpstreamState>,
+    /// Attempts whose responses broke off at an upstream that is being checked for a crash.
+    pub broken_attempts: FastMap<UpstreamId, Vec<BrokenAttempt>>,
     /// Other instances.
     pub members: MemberTable,
     /// True once the list of members has been read from the store.
--- a/marigoldlock_core/src/gateway/call.rs
+++ b/marigoldlock_core/src/gateway/call.rs
@@ -27,10 +27,14 @@
 }
 
 impl PromptShape {
+    /// Parts that other requests share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Id of the last prompt part that other requests share; it identifies the shared prefix.
     pub fn shared_prefix_id(&self) -> Option<u64> {
-        let index = self.parts.len().checked_sub(2)?;
-        self.parts.get(index).map(|part| part.id)
+        self.shared_parts().last().map(|part| part.id)
     }
 }
 
