Add failing tests for prompt parts that crash engines

Change: stand-ins of upstreams crash when they begin to answer a request with a given part, and when a test tells them to: connections break and the address refuses new ones for a time.

--- /dev/null
+++ b/marigoldlock/tests/platform_crashes.rs
@@ -0,0 +1,167 @@
+//! Requests that crash upstreams, counted at the upstreams of the users' platform.
+
+mod platform_support;
+
+use std::time::{Duration, Instant};
+
+use marigoldlock_standin::site::{SITE_KEY, UpstreamStandin};
+use platform_support::Site;
+
+/// Time after the fifth crash from which the platform counts, and after its start from which it counts an instance.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Requests that the platform allows to reach upstreams from then on.
+const ALLOWED: usize = 3;
+
+/// Time for which an upstream is down after a crash.
+const DOWNTIME: Duration = Duration::from_millis(200);
+
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Prompt part that crashes engines.
+const CRASHING_PART: &str = "bad";
+
+/// A prompt with the crashing part; the other parts differ from request to request.
+fn crashing_prompt(number: usize) -> String {
+    format!("a{}:400,{CRASHING_PART}:100,c{number:x}:50", number % 4)
+}
+
+/// A prompt that shares all but the crashing part with some [`crashing_prompt`].
+fn sound_prompt(number: usize) -> String {
+    format!("a{}:400,d{number:x}:50", number % 4)
+}
+
+async fn start_with_crashing_part(instances: usize) -> Site {
+    let site = Site::start(instances).await;
+    for id in ["d1", "d2"] {
+        site.runner(id).set_faults(|faults| {
+            faults.crashing_part = Some(CRASHING_PART.into());
+            faults.downtime = DOWNTIME;
+        });
+    }
+    site
+}
+
+/// Sends a streamed request to one of the instances in turn, and returns its status once the answer has ended.
+async fn stream(site: &Site, number: usize, prompt: &str) -> u16 {
+    let front = site.instances[number % site.instances.len()].addresses().front;
+    let attempt = format!("{prompt}#{number}");
+    let answer = site
+        .caller
+        .send_prompt(front, "/draft/x", &attempt, SITE_KEY, prompt);
+    let answer = answer.await.unwrap();
+    let status = answer.status().as_u16();
+    answer.bytes().await.ok();
+    status
+}
+
+/// Sends crashing requests to all instances in turn, and returns their statuses.
+async fn press(site: &Site, length: Duration) -> Vec<u16> {
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    while started.elapsed() < length {
+        statuses.push(stream(site, statuses.len(), &crashing_prompt(statuses.len())).await);
+        tokio::time::sleep(PAUSE).await;
+    }
+    statuses
+}
+
+/// Requests with the crashing part that reached an upstream since `from`.
+fn arrivals_since(site: &Site, from: Instant) -> usize {
+    let arrivals = site.upstreams.iter().flat_map(UpstreamStandin::arrivals);
+    arrivals
+        .filter(|arrival| arrival.prompt_parts.contains(CRASHING_PART) && arrival.at >= from)
+        .count()
+}
+
+/// Time from which the platform counts; `None` if there were fewer than five crashes.
+fn counted_from(site: &Site) -> Option<Instant> {
+    let mut crashes: Vec<Instant> = site.upstreams.iter().flat_map(UpstreamStandin::crashes).collect();
+    crashes.sort_unstable();
+    crashes.get(4).map(|fifth| *fifth + CONTACT)
+}
+
+/// Guards against requests that share one part of their prompts and crash engine after engine on all instances.
+#[tokio::test]
+async fn a_prompt_part_that_crashes_engines_is_no_longer_sent_to_any() {
+    let site = start_with_crashing_part(3).await;
+    press(&site, CONTACT * 2).await;
+    let counted = counted_from(&site).map_or(0, |from| arrivals_since(&site, from));
+    assert!(
+        counted <= ALLOWED,
+        "{counted} requests reached upstreams, {ALLOWED} allowed"
+    );
+    let mut sound = Vec::new();
+    for number in 0..40 {
+        sound.push(stream(&site, number, &sound_prompt(number)).await);
+    }
+    assert!(
+        sound.iter().all(|status| *status == 200),
+        "requests that share the other parts are served: {sound:?}"
+    );
+    let refused = stream(&site, 0, &crashing_prompt(0)).await;
+    assert_eq!(refused, 503, "the request has not run");
+}
+
+/// Guards against instances that start after the crashes and know nothing of them.
+#[tokio::test]
+async fn an_instance_that_starts_later_sends_no_prompt_part_that_crashes_engines() {
+    let mut site = start_with_crashing_part(2).await;
+    press(&site, CONTACT).await;
+    site.start_instance(2).await.unwrap();
+    tokio::time::sleep(CONTACT).await;
+    let from = Instant::now();
+    press(&site, Duration::from_secs(2)).await;
+    let counted = arrivals_since(&site, from);
+    assert!(
+        counted <= ALLOWED,
+        "{counted} requests reached upstreams, {ALLOWED} allowed"
+    );
+}
+
+/// Guards against a fleet that forgets the crashes when all instances restart at once.
+#[tokio::test]
+async fn a_fleet_that_restarts_sends_no_prompt_part_that_crashes_engines() {
+    let mut site = start_with_crashing_part(2).await;
+    press(&site, CONTACT).await;
+    for instance in std::mem::take(&mut site.instances) {
+        instance.abort();
+    }
+    for number in 0..2 {
+        site.start_instance(number).await.unwrap();
+    }
+    tokio::time::sleep(CONTACT).await;
+    let from = Instant::now();
+    press(&site, Duration::from_secs(2)).await;
+    let counted = arrivals_since(&site, from);
+    assert!(
+        counted <= ALLOWED,
+        "{counted} requests reached upstreams, {ALLOWED} allowed"
+    );
+}
+
+/// Guards against blame for requests that were at engines which crashed for another reason.
+#[tokio::test]
+async fn engines_that_crash_by_themselves_block_no_prompt_part() {
+    let site = Site::start(2).await;
+    for number in 0..30 {
+        if number % 3 == 0 {
+            let id = if number % 2 == 0 { "d1" } else { "d2" };
+            site.runner(id).set_faults(|faults| faults.delay = PAUSE);
+            let engine = site.runner(id);
+            let prompt = sound_prompt(number);
+            let sent = stream(&site, number, &prompt);
+            let crash = async {
+                tokio::time::sleep(PAUSE / 2).await;
+                engine.crash(DOWNTIME);
+            };
+            tokio::join!(sent, crash);
+        }
+        stream(&site, number, &sound_prompt(number)).await;
+    }
+    tokio::time::sleep(DOWNTIME * 2).await;
+    for number in 0..20 {
+        assert_eq!(stream(&site, number, &sound_prompt(number)).await, 200);
+    }
+}
--- a/marigoldlock_standin/src/site/mod.rs
+++ b/marigoldlock_standin/src/site/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod duties;
+mod server;
 mod store;
 mod upstream;
 
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -11,7 +11,7 @@
 use futures::StreamExt as _;
 use serde_json::{Value, json};
 
-use super::RouteServer;
+use super::server::{CrashServer, CrashSwitch};
 
 /// Identity of an upstream.
 #[derive(Clone, Debug)]
@@ -49,10 +49,25 @@
     pub retry_after: Option<f64>,
     /// Requests per second that every answer states as the upstream's limit.
     pub rate_limit: Option<f64>,
+    /// Id of a prompt part, as callers write it; the upstream crashes when it begins to answer a request with it.
+    pub crashing_part: Option<String>,
+    /// Time for which the upstream is down after a crash.
+    pub downtime: Duration,
     /// Duration of a request.
     pub delay: Duration,
 }
 
+impl UpstreamFaults {
+    /// True if the upstream crashes when it runs the request.
+    fn crashes_under(&self, headers: &HeaderMap) -> bool {
+        let listed = text(headers, "prompt-prefix").unwrap_or_default();
+        self.crashing_part.as_ref().is_some_and(|id| {
+            let mut ids = listed.split(',').filter_map(|part| part.split_once(':'));
+            ids.any(|(listed, _)| listed == id)
+        })
+    }
+}
+
 /// A request that an upstream ran.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunRecord {
@@ -85,6 +100,8 @@
     pub is_prefill: bool,
     /// True if the upstream did not refuse the request.
     pub is_accepted: bool,
+    /// Parts of its prompt, as the caller wrote them.
+    pub prompt_parts: String,
     /// When the request arrived.
     pub at: Instant,
 }
@@ -96,13 +113,22 @@
     arrivals: Mutex<Vec<ArrivalRecord>>,
     runs: Mutex<Vec<RunRecord>>,
     orders: Mutex<Vec<Value>>,
+    crashes: Mutex<Vec<Instant>>,
+    crash_switch: CrashSwitch,
+}
+
+impl UpstreamState {
+    fn crash(&self, downtime: Duration) {
+        lock(&self.crashes).push(Instant::now());
+        self.crash_switch.crash(downtime);
+    }
 }
 
 /// Running stand-in for one upstream.
 #[derive(Debug)]
 pub struct UpstreamStandin {
     state: Arc<UpstreamState>,
-    server: RouteServer,
+    server: CrashServer,
 }
 
 /// Interval between two events of a stream.
@@ -118,15 +144,22 @@
     ///
     /// If no address can be bound.
     pub async fn start(options: UpstreamOptions) -> std::io::Result<Self> {
-        let state = Arc::new(UpstreamState {
-            options,
-            faults: Mutex::default(),
-            arrivals: Mutex::default(),
-            runs: Mutex::default(),
-            orders: Mutex::default(),
-        });
-        let routes = Router::new().fallback(serve).with_state(Arc::clone(&state));
-        let server = RouteServer::start(routes).await?;
+        let mut started = None;
+        let server = CrashServer::start(|crash_switch| {
+            let state = Arc::new(UpstreamState {
+                options,
+                faults: Mutex::default(),
+                arrivals: Mutex::default(),
+                runs: Mutex::default(),
+                orders: Mutex::default(),
+                crashes: Mutex::default(),
+                crash_switch,
+            });
+            started = Some(Arc::clone(&state));
+            Router::new().fallback(serve).with_state(state)
+        })
+        .await?;
+        let state = started.ok_or_else(|| std::io::Error::other("the server has no state"))?;
         Ok(Self { state, server })
     }
 
@@ -168,6 +201,16 @@
         lock(&self.state.arrivals).clone()
     }
 
+    /// Crashes the upstream; it is back after `downtime`.
+    pub fn crash(&self, downtime: Duration) {
+        self.state.crash(downtime);
+    }
+
+    /// Times of the crashes, in order.
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.state.crashes).clone()
+    }
+
     /// Orders that were accepted.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.state.orders).clone()
@@ -277,6 +320,7 @@
         attempt: attempt.clone(),
         is_prefill,
         is_accepted: !is_wrong_stage && !faults.rejects_requests,
+        prompt_parts: text(headers, "prompt-prefix").unwrap_or_default().to_owned(),
         at: Instant::now(),
     });
     if is_wrong_stage {
@@ -305,6 +349,11 @@
         body,
     });
     tokio::time::sleep(faults.delay).await;
+    if !is_prefill && faults.crashes_under(headers) {
+        state.crash(faults.downtime);
+        // The crash aborts this task.
+        std::future::pending::<()>().await;
+    }
     if faults.refuses_after_run {
         return respond(StatusCode::SERVICE_UNAVAILABLE, &[("Attempt-Id", &echoed)], "");
     }
