--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -122,6 +122,7 @@
         attempt: format!("s{}", number / 3),
         is_prefill,
         is_accepted: true,
+        prompt_parts: String::new(),
         at: start + Duration::from_millis(number),
     };
     let excess = |requests: u64| {
