Block prompt parts that crash engines, on all instances

What callers saw: engines crashed one after the other for as long as requests with one part in their prompts came; sound streams were cut or refused with them. Cause: a failed attempt was held against its upstream only. Nothing remembered what was there when the upstream crashed, so the next request with the part was sent as if nothing had happened, by any instance. Class: a failure whose cause is the request is treated as one of the upstream, so a retry spreads it. Change: a confirmed crash is recorded with the parts of all requests that it broke (gateway::crashes); gateway::blame derives what they have in common. Runs that complete clear their parts; only crashes of runs that began after the one before are counted; a known cause explains a crash for all that were there; parts that can't be told apart are blocked only together. Instances exchange crashes, completions and blocks with their heartbeats, whose version is 3 now; one instance writes blocks to the store, which each reads at its start. A blocked request is refused at once as not run, with the rest of the block as the time to come back. Why it works: the part is the only thing that all crashes share and no completed run has; three crashes come before the fifth. Ruled out: to block callers or routes, which sound requests share; to block a part after crashes that come together, which blames whatever was at upstreams that lose power at once; to keep blocks in instances only, since all may restart at once.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -99,6 +99,7 @@
         permit: SendPermit,
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
+        self.sent_at = self.gateway.now();
         let result = if self.start_request(entry, &permit) {
             self.send_permitted(entry, &permit, plan).await
         } else {
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -7,6 +7,7 @@
 use http::{Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use marigoldlock_core::gateway::blame::SuspectKey;
 use marigoldlock_core::gateway::choice::{ChoiceContext, pick_plain};
 use marigoldlock_core::gateway::outcome::{AttemptFailure, AttemptHistory, SendPermit, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
@@ -53,6 +54,10 @@
     pub deadline: MonoTime,
     pub attempts: AttemptHistory,
     pub tried: Vec<UpstreamId>,
+    /// Properties that the request may share with others that crash upstreams.
+    pub suspects: Vec<SuspectKey>,
+    /// When the request was last sent to an upstream.
+    pub sent_at: MonoTime,
     /// Engine that prefilled the prompt for another one.
     pub prefilled_at: Option<UpstreamId>,
     /// KV cache capacity of one of the service's engines, in tokens.
@@ -124,7 +129,10 @@
     let engine = settings
         .service(service.as_str())
         .and_then(|rule| rule.engine.as_ref());
+    let shared_parts = head.prompt.as_ref().map(PromptShape::shared_parts);
     let call = Call {
+        suspects: suspect_parts(shared_parts.unwrap_or_default()),
+        sent_at: arrived,
         kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
         gateway,
         head,
@@ -143,6 +151,9 @@
         route,
     };
     call.count_request();
+    if call.block_left().is_some() {
+        return call.refuse(call.refusal());
+    }
     if call.route.kind.is_stream() {
         stream::serve(call).await
     } else {
@@ -150,6 +161,10 @@
     }
 }
 
+fn suspect_parts(parts: &[PromptPart]) -> Vec<SuspectKey> {
+    parts.iter().map(|part| SuspectKey::PromptPart(part.id)).collect()
+}
+
 /// Ids of prompt parts as callers write them, separated by commas.
 fn part_ids(parts: &[PromptPart]) -> String {
     let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
@@ -219,7 +234,7 @@
 
     /// Returns the permission to send to one more upstream. If that is a retry, it is consumed from the budget.
     pub fn permit(&mut self, phase: SendPhase) -> Option<SendPermit> {
-        if self.time_left().is_zero() {
+        if self.time_left().is_zero() || self.block_left().is_some() {
             return None;
         }
         let mut attempts = self.attempts;
@@ -246,6 +261,9 @@
         if !cause.is_not_run() {
             return Refusal::new(cause);
         }
+        if let Some(left) = self.block_left() {
+            return Refusal::new(RefusalCause::CrashesUpstreams).retry_after(left);
+        }
         match (cause, self.send_wait()) {
             (_, None) => Refusal::new(cause).retry_after(RETRY_AFTER),
             (RefusalCause::NoUpstream, Some(wait)) => Refusal::new(RefusalCause::Busy).retry_after(wait),
@@ -253,6 +271,12 @@
         }
     }
 
+    /// Time for which requests like this one are blocked because they crash upstreams; `None` if they aren't.
+    pub fn block_left(&self) -> Option<Duration> {
+        let fleet_ms = self.gateway.fleet_unix_ms();
+        self.gateway.state().crashes.block_left(&self.suspects, fleet_ms)
+    }
+
     /// Time to name to the caller if all upstreams take no request from here now, by their own word; `None` if one
     /// does or none is known.
     fn send_wait(&self) -> Option<Duration> {
@@ -356,6 +380,7 @@
                 }
                 Ok(response) => {
                     self.count_started();
+                    self.record_completion();
                     return self.deliver(response);
                 }
                 Err(failure) => self.record_failure(&entry, failure),
--- a/marigoldlock/src/gateway/crash_check.rs
+++ b/marigoldlock/src/gateway/crash_check.rs
@@ -4,9 +4,14 @@
 //! crashed no longer accepts connections, so a broken response is followed by one attempt to connect. All responses
 //! that broke off at the upstream in the meantime share it.
 
+use std::hash::Hasher;
 use std::sync::Arc;
 
+use marigoldlock_core::gateway::blame::{CrashRecord, SuspectKey};
+use marigoldlock_core::gateway::crashes::FleetTime;
 use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::state::UpstreamKey;
+use marigoldlock_core::prelude::*;
 use tokio::net::TcpStream;
 
 use super::Gateway;
@@ -16,8 +21,25 @@
 /// A request whose response broke off at an upstream.
 #[derive(Clone, Debug)]
 pub struct BrokenAttempt {
-    /// The caller's id of the request.
-    pub request: String,
+    request: String,
+    suspects: Vec<SuspectKey>,
+    sent_at: MonoTime,
+    broken_at: MonoTime,
+}
+
+impl BrokenAttempt {
+    fn crash_record(&self, upstream: &UpstreamId, time: FleetTime) -> CrashRecord {
+        let ago = |at: MonoTime| u64::try_from(time.now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let mut hasher = rustc_hash::FxHasher::default();
+        hasher.write(self.request.as_bytes());
+        CrashRecord {
+            request: hasher.finish(),
+            upstream: UpstreamKey::from(upstream),
+            sent_ms: time.fleet_ms.saturating_sub(ago(self.sent_at)),
+            crashed_ms: time.fleet_ms.saturating_sub(ago(self.broken_at)),
+            suspects: self.suspects.clone(),
+        }
+    }
 }
 
 impl Call {
@@ -25,6 +47,9 @@
     pub fn check_crash(&self, entry: &UpstreamEntry) {
         let attempt = BrokenAttempt {
             request: self.head.attempt_id.clone(),
+            suspects: self.suspects.clone(),
+            sent_at: self.sent_at,
+            broken_at: self.gateway.now(),
         };
         let mut state = self.gateway.state();
         let broken = state.broken_attempts.entry(entry.id.clone()).or_default();
@@ -35,6 +60,12 @@
             tokio::spawn(check_upstream(Arc::clone(&self.gateway), entry.clone()));
         }
     }
+
+    /// Records that the request was run to its end, so that nothing in it crashes upstreams.
+    pub fn record_completion(&self) {
+        self.gateway
+            .change_crashes(|table, time| table.record_completion(&self.suspects, time));
+    }
 }
 
 async fn check_upstream(gateway: Arc<Gateway>, entry: UpstreamEntry) {
@@ -56,4 +87,9 @@
         "the upstream has crashed"
     );
     metrics::counter!("gateway_upstream_crashes_total").increment(1);
+    gateway.change_crashes(|table, time| {
+        for attempt in &broken {
+            table.record_crash(attempt.crash_record(&entry.id, time), time);
+        }
+    });
 }
--- /dev/null
+++ b/marigoldlock/src/gateway/crash_log.rs
@@ -0,0 +1,140 @@
+//! Blocks on requests that crash upstreams, as they are kept in the store.
+//!
+//! Instances tell each other of blocks, so the store is only read by an instance that starts, and written by one
+//! instance of the fleet.
+
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marigoldlock_core::gateway::blame::SuspectKey;
+use marigoldlock_core::gateway::crashes::CrashBlock;
+use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::prelude::*;
+
+use super::Gateway;
+use super::follow::RetryBackoff;
+
+/// Time between two checks for blocks to write.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Reads the blocks from the store, then keeps them there up to date; never returns.
+pub async fn keep_blocks(gateway: Arc<Gateway>) {
+    let mut log = CrashLog {
+        stored: FastMap::default(),
+        gateway,
+    };
+    log.read().await;
+    let mut backoff = RetryBackoff::default();
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        match log.write_changes().await {
+            Ok(()) => backoff.reset(),
+            Err(err) => {
+                log::debug!(error:% = err; "writing a block to the store failed; retrying");
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+struct CrashLog {
+    gateway: Arc<Gateway>,
+    /// Blocks in the store by key, as far as this instance knows.
+    stored: FastMap<String, CrashBlock>,
+}
+
+impl CrashLog {
+    async fn read(&mut self) {
+        let mut backoff = RetryBackoff::default();
+        loop {
+            match self.gateway.parts.store.list(StoreStream::Crashes).await {
+                Ok(listing) => {
+                    for record in listing.records {
+                        if let Some(value) = record.value {
+                            self.add_stored(record.key, &value);
+                        }
+                    }
+                    return;
+                }
+                Err(err) => {
+                    log::debug!(error:% = err; "reading the blocks from the store failed; retrying");
+                    backoff.wait().await;
+                }
+            }
+        }
+    }
+
+    fn add_stored(&mut self, key: String, value: &Bytes) {
+        match serde_json::from_slice::<CrashBlock>(value) {
+            Ok(block) => {
+                self.stored.insert(key, block.clone());
+                self.gateway.change_crashes(|table, time| {
+                    table.add_block(block, time);
+                });
+            }
+            Err(err) => log::warn!(key, error:% = err; "a block in the store can't be parsed; ignored"),
+        }
+    }
+
+    /// Writes the blocks that differ from those in the store, if that is up to this instance.
+    async fn write_changes(&mut self) -> Result<(), StoreError> {
+        if !self.is_writer() {
+            return Ok(());
+        }
+        let blocks = self.gateway.state().crashes.blocks().to_vec();
+        let blocks: FastMap<String, CrashBlock> = blocks
+            .into_iter()
+            .map(|block| (block_key(&block.suspects), block))
+            .collect();
+        for (key, block) in &blocks {
+            if self.stored.get(key) == Some(block) {
+                continue;
+            }
+            let Ok(value) = serde_json::to_vec(block) else {
+                continue;
+            };
+            self.gateway
+                .parts
+                .store
+                .put(StoreStream::Crashes, key, &value)
+                .await?;
+            log::info!(suspects:? = block.suspects; "block written to the store");
+            self.stored.insert(key.clone(), block.clone());
+        }
+        let ended: Vec<String> = self
+            .stored
+            .keys()
+            .filter(|key| !blocks.contains_key(*key))
+            .cloned()
+            .collect();
+        for key in ended {
+            self.gateway
+                .parts
+                .store
+                .put(StoreStream::Crashes, &key, &[])
+                .await?;
+            self.stored.remove(&key);
+        }
+        Ok(())
+    }
+
+    fn is_writer(&self) -> bool {
+        let state = self.gateway.state();
+        let view = FleetView {
+            own: &self.gateway.parts.card,
+            members: &state.members,
+            now: self.gateway.now(),
+        };
+        state.store.is_reachable() && view.is_first_successor()
+    }
+}
+
+/// Key of a block in the store.
+fn block_key(suspects: &[SuspectKey]) -> String {
+    let mut hasher = rustc_hash::FxHasher::default();
+    suspects.hash(&mut hasher);
+    format!("{:016x}", hasher.finish())
+}
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -202,7 +202,7 @@
             state.settings_offset = state.settings_offset.max(next_offset);
         }
         StoreStream::Upstreams => apply_upstreams(gateway, records, next_offset, is_listing),
-        StoreStream::Members | StoreStream::Duties => {}
+        StoreStream::Members | StoreStream::Crashes | StoreStream::Duties => {}
     }
     become_ready(gateway);
 }
--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable};
 use marigoldlock_core::gateway::exchange::{FleetView, heartbeat_interval};
 use marigoldlock_core::gateway::members::{
     Heartbeat, MemberReport, ReportPath, StoreContact, UpstreamWork, age_ms,
@@ -33,6 +34,9 @@
 /// Number of past usage windows that a heartbeat reports in addition to the current one.
 const REPORTED_PAST_WINDOWS: u64 = 2;
 
+/// Time between two reports of all known crashes; those in between only contain the news.
+const COMPLETE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -46,8 +50,14 @@
 }
 
 async fn send_heartbeats(gateway: &Gateway, socket: &UdpSocket) {
+    let mut reported_all_at = None;
     for round in 0.. {
-        send_round(gateway, socket, round).await;
+        let now = gateway.now();
+        let is_complete = reported_all_at.is_none_or(|at| now.since(at) >= COMPLETE_REPORT_INTERVAL);
+        if is_complete {
+            reported_all_at = Some(now);
+        }
+        send_round(gateway, socket, round, is_complete).await;
         let now = gateway.now();
         gateway.connections().expire(now);
         let instances = {
@@ -62,11 +72,13 @@
 }
 
 /// Sends the heartbeats of one round. A relay forwards different reports to local and remote instances, and
-/// only the usage replicas get usage counts.
-async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64) {
+/// only the usage replicas get usage counts. If `is_complete` is true, all known crashes are reported, else the news.
+async fn send_round(gateway: &Gateway, socket: &UdpSocket, round: u64, is_complete: bool) {
     let now = gateway.now();
     let unix_ms = gateway.parts.clock.unix_ms();
     let card = &gateway.parts.card;
+    gateway.change_crashes(CrashTable::update);
+    let crashes = gateway.state().crashes.report(now, is_complete);
     let (targets, own, usage, for_local, for_remote) = {
         let mut state = gateway.state();
         state.reports_sent += 1;
@@ -109,6 +121,7 @@
             own: own.clone(),
             forwarded,
             usage: Vec::new(),
+            crashes: crashes.clone(),
         };
         let (replicas, others): (Vec<_>, Vec<_>) = addresses
             .into_iter()
@@ -137,15 +150,16 @@
     match codec::encode(heartbeat) {
         Ok(bytes) if bytes.len() > TARGET_DATAGRAM_BYTES && heartbeat.forwarded.len() > 1 => {
             let (first, second) = heartbeat.forwarded.split_at(heartbeat.forwarded.len() / 2);
-            let part = |forwarded: &[MemberReport], usage: &[WindowCounts]| Heartbeat {
+            let part = |forwarded: &[MemberReport], usage: &[WindowCounts], crashes: CrashReport| Heartbeat {
                 unix_ms: heartbeat.unix_ms,
                 is_answer: heartbeat.is_answer,
                 own: heartbeat.own.clone(),
                 forwarded: forwarded.to_vec(),
                 usage: usage.to_vec(),
+                crashes,
             };
-            let mut parts = encode_datagrams(&part(first, &heartbeat.usage));
-            parts.extend(encode_datagrams(&part(second, &[])));
+            let mut parts = encode_datagrams(&part(first, &heartbeat.usage, heartbeat.crashes.clone()));
+            parts.extend(encode_datagrams(&part(second, &[], CrashReport::default())));
             parts
         }
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => vec![bytes],
@@ -255,6 +269,9 @@
         }
     }
     drop(state);
+    if heartbeat.crashes != CrashReport::default() {
+        gateway.change_crashes(|table, time| table.merge(heartbeat.crashes, time));
+    }
     if is_different {
         gateway.peer_sync_differs.notify_one();
     }
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod codec;
 mod connections;
 mod crash_check;
+mod crash_log;
 mod cursor;
 mod duties;
 mod duty_log;
@@ -37,6 +38,7 @@
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::adapter::{DirectoryProtocol, UpstreamOrders};
 use marigoldlock_core::gateway::budget::BudgetLimits;
+use marigoldlock_core::gateway::crashes::{BlockChange, CrashTable, FleetTime};
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
@@ -154,6 +156,28 @@
         self.parts.clock.now()
     }
 
+    /// Changes what is known of crashes, and logs what that blocks.
+    fn change_crashes(&self, change: impl FnOnce(&mut CrashTable, FleetTime)) {
+        let time = FleetTime {
+            now: self.now(),
+            fleet_ms: self.fleet_unix_ms(),
+        };
+        let mut state = self.state();
+        change(&mut state.crashes, time);
+        let changes = state.crashes.take_changes();
+        drop(state);
+        for change in changes {
+            match change {
+                BlockChange::Blocked(suspects) => {
+                    log::warn!(suspects:? = suspects; "requests that crash upstreams are blocked");
+                }
+                BlockChange::Lifted(suspects) => {
+                    log::info!(suspects:? = suspects; "requests that were blamed for crashes are no longer blocked");
+                }
+            }
+        }
+    }
+
     /// Turn of this instance at the upstreams that state a rate limit; `None` if none does.
     fn pace_turn(&self, state: &GatewayState) -> Option<PaceTurn> {
         let is_limited = state
@@ -210,6 +234,7 @@
             &background,
             heartbeats::exchange(Arc::clone(&gateway), listeners.datagrams),
         );
+        spawn_cancellable(&background, crash_log::keep_blocks(Arc::clone(&gateway)));
         spawn_cancellable(&background, duties::run(Arc::clone(&gateway)));
         spawn_cancellable(&background, usage::report_usage(Arc::clone(&gateway)));
         let card = &gateway.parts.card;
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use marigoldlock_core::gateway::budget::{BudgetStart, RetryBudget};
 use marigoldlock_core::gateway::choice::Candidate;
 use marigoldlock_core::gateway::clock::FleetClock;
+use marigoldlock_core::gateway::crashes::CrashTable;
 use marigoldlock_core::gateway::duty::DutyState;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage, MemberTable, SyncState};
@@ -51,6 +52,8 @@
     upstreams_digest: u64,
     /// Load and health of upstreams.
     pub upstreams: FastMap<UpstreamId, UpstreamState>,
+    /// Crashes of upstreams, and the requests that are blocked because of them.
+    pub crashes: CrashTable,
     /// Attempts whose responses broke off at an upstream that is being checked for a crash.
     pub broken_attempts: FastMap<UpstreamId, Vec<BrokenAttempt>>,
     /// Other instances.
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -219,6 +219,7 @@
         drop(guard);
         match end {
             StreamEnd::Complete => {
+                call.record_completion();
                 call.release_connection(&entry, connection, &head);
                 call.log_done("answered", StatusCode::OK);
                 return;
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -4,7 +4,10 @@
 
 use tokio::time::Instant;
 
+use marigoldlock_core::gateway::blame::{CrashRecord, SuspectKey};
+use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, FleetTime};
 use marigoldlock_core::gateway::members::{Heartbeat, MemberCard, MemberReport, MemberStage};
+use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::gateway::usage::WindowCounts;
 use marigoldlock_core::prelude::*;
 
@@ -112,6 +115,28 @@
     }
 }
 
+/// A report of as many crashes as an instance keeps, each under a request with as many suspects as are kept.
+fn largest_crash_report() -> CrashReport {
+    let mut table = CrashTable::default();
+    let time = FleetTime {
+        now: MonoTime::from_millis(1_000),
+        fleet_ms: 1_767_252_734_991,
+    };
+    for request in 0..1_000 {
+        let record = CrashRecord {
+            request: u64::MAX - request,
+            upstream: UpstreamKey::from(&UpstreamId::from("i-7f3a91c2")),
+            sent_ms: time.fleet_ms - 100,
+            crashed_ms: time.fleet_ms,
+            suspects: (0..64)
+                .map(|part| SuspectKey::PromptPart(u64::MAX - part))
+                .collect(),
+        };
+        table.record_crash(record, time);
+    }
+    table.report(time.now, true)
+}
+
 #[test]
 fn heartbeats_of_a_relay_in_a_large_fleet_are_split() {
     let heartbeat = Heartbeat {
@@ -123,6 +148,7 @@
             window: 7,
             counts: vec![(CustomerId::from("acme"), 3)],
         }],
+        crashes: largest_crash_report(),
     };
     let parts = encode_datagrams(&heartbeat);
     assert!(parts.len() > 1);
@@ -134,8 +160,15 @@
         read.iter().filter(|part| part.usage == heartbeat.usage).count(),
         1
     );
+    assert_eq!(
+        read.iter()
+            .filter(|part| part.crashes == heartbeat.crashes)
+            .count(),
+        1
+    );
     let small = Heartbeat {
         forwarded: (1..72).map(report).collect(),
+        crashes: CrashReport::default(),
         ..heartbeat
     };
     assert_eq!(encode_datagrams(&small).len(), 1);
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use marigoldlock::platform_run::SettingsFileWatcher;
+use marigoldlock_core::gateway::crashes::CrashReport;
 use marigoldlock_core::gateway::members::{
     Heartbeat, MemberCard, MemberReport, MemberStage, StoreContact, SyncState,
 };
@@ -659,8 +660,9 @@
                 own: report,
                 forwarded: Vec::new(),
                 usage: Vec::new(),
+                crashes: CrashReport::default(),
             };
-            let mut bytes = vec![2];
+            let mut bytes = vec![3];
             bincode::serde::encode_into_std_write(&heartbeat, &mut bytes, bincode::config::standard())
                 .unwrap();
             socket.send_to(&bytes, target).await.unwrap();
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -176,6 +176,9 @@
     /// Member cards, written by the instances.
     #[display("members")]
     Members,
+    /// Blocks on requests that crash upstreams, written by the instances.
+    #[display("crashes")]
+    Crashes,
     /// Claims of the duties and the usage counts that their holders have fixed.
     #[display("duties")]
     Duties,
--- a/marigoldlock_core/src/gateway/call.rs
+++ b/marigoldlock_core/src/gateway/call.rs
@@ -74,6 +74,8 @@
     TooLate,
     /// Every upstream that was tried rejected the request; it has not run.
     TurnedAway,
+    /// Requests like this one have crashed upstreams; it has not run.
+    CrashesUpstreams,
     /// The request was sent and its outcome is unknown.
     OutcomeUnknown,
     /// The request was sent and timed out.
@@ -93,6 +95,7 @@
             Self::Busy => "busy",
             Self::TooLate => "too_late",
             Self::TurnedAway => "turned_away",
+            Self::CrashesUpstreams => "crashes_upstreams",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
@@ -102,7 +105,12 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotReady | Self::NoUpstream | Self::Busy | Self::TooLate | Self::TurnedAway
+            Self::NotReady
+                | Self::NoUpstream
+                | Self::Busy
+                | Self::TooLate
+                | Self::TurnedAway
+                | Self::CrashesUpstreams
         )
     }
 }
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -8,6 +8,7 @@
 
 use crate::time::MonoTime;
 
+use super::crashes::CrashReport;
 use super::exchange::heartbeat_interval;
 use super::state::UpstreamKey;
 use super::usage::WindowCounts;
@@ -147,6 +148,8 @@
     pub forwarded: Vec<MemberReport>,
     /// The sender's usage counts of the latest windows.
     pub usage: Vec<WindowCounts>,
+    /// Crashes of upstreams that the sender knows of.
+    pub crashes: CrashReport,
 }
 
 /// How a report was received.
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -8,12 +8,14 @@
 
 pub mod adapter;
 pub mod admission;
+pub mod blame;
 pub mod budget;
 pub mod call;
 pub mod capacity;
 pub mod catalog;
 pub mod choice;
 pub mod clock;
+pub mod crashes;
 pub mod duty;
 pub mod events;
 pub mod exchange;
--- /dev/null
+++ b/marigoldlock_core/src/gateway/tests/crashes.rs
@@ -0,0 +1,464 @@
+//! Tests of the blame for crashes of upstreams, and of the blocks that follow.
+
+use super::super::blame::{CrashRecord, SuspectKey};
+use super::super::crashes::{BlockChange, CrashBlock, CrashTable, FleetTime};
+use super::super::state::UpstreamKey;
+use super::*;
+
+const POISON: SuspectKey = SuspectKey::PromptPart(666);
+
+fn part(id: u64) -> SuspectKey {
+    SuspectKey::PromptPart(id)
+}
+
+fn time(ms: u64) -> FleetTime {
+    FleetTime {
+        now: at(ms),
+        fleet_ms: 1_000_000 + ms,
+    }
+}
+
+/// A request that was at an upstream from `sent` to `crashed`.
+fn record(request: u64, upstream: &str, sent: u64, crashed: u64, suspects: &[SuspectKey]) -> CrashRecord {
+    CrashRecord {
+        request,
+        upstream: UpstreamKey::from(&UpstreamId::from(upstream)),
+        sent_ms: time(sent).fleet_ms,
+        crashed_ms: time(crashed).fleet_ms,
+        suspects: suspects.to_vec(),
+    }
+}
+
+/// Records crashes of different upstreams, one after the other, each under one request with these suspects.
+fn crash_in_turn(table: &mut CrashTable, from_ms: u64, requests: &[&[SuspectKey]]) {
+    for (number, suspects) in requests.iter().enumerate() {
+        let sent = from_ms + 200 * number as u64;
+        let crash = record(sent, &format!("u{sent}"), sent, sent + 100, suspects);
+        table.record_crash(crash, time(sent + 105));
+    }
+}
+
+fn is_blocked(table: &CrashTable, keys: &[SuspectKey], ms: u64) -> bool {
+    table.block_left(keys, time(ms).fleet_ms).is_some()
+}
+
+#[test]
+fn a_part_is_blocked_after_three_successive_crashes() {
+    let mut table = CrashTable::default();
+    crash_in_turn(&mut table, 0, &[&[part(1), POISON], &[part(2), POISON]]);
+    assert!(!is_blocked(&table, &[part(3), POISON], 1_000));
+    crash_in_turn(&mut table, 1_000, &[&[part(3), POISON]]);
+    assert!(is_blocked(&table, &[part(4), POISON], 2_000));
+    for other in 1..=3 {
+        assert!(!is_blocked(&table, &[part(other)], 2_000));
+    }
+}
+
+#[test]
+fn upstreams_that_crash_together_block_nothing() {
+    let mut table = CrashTable::default();
+    for number in 0..9 {
+        let upstream = format!("u{number}");
+        table.record_crash(record(number, &upstream, 10 * number, 500, &[part(1)]), time(505));
+    }
+    assert!(!is_blocked(&table, &[part(1)], 600));
+}
+
+#[test]
+fn one_crash_that_several_instances_report_counts_once() {
+    let mut table = CrashTable::default();
+    for number in 0..6 {
+        table.record_crash(record(number, "u", 0, 100 + number, &[part(1)]), time(110));
+    }
+    assert!(!is_blocked(&table, &[part(1)], 200));
+}
+
+#[test]
+fn a_completed_run_clears_what_it_contains() {
+    let mut table = CrashTable::default();
+    crash_in_turn(&mut table, 0, &[&[part(1)], &[part(1)]]);
+    table.record_completion(&[part(1)], time(500));
+    crash_in_turn(&mut table, 1_000, &[&[part(1)], &[part(1)]]);
+    assert!(!is_blocked(&table, &[part(1)], 1_500));
+    crash_in_turn(&mut table, 1_500, &[&[part(1)]]);
+    assert!(is_blocked(&table, &[part(1)], 1_700));
+    assert_eq!(table.take_changes(), [BlockChange::Blocked(vec![part(1)])]);
+    // A run that was sent before the block still ends well.
+    table.record_completion(&[part(1)], time(1_800));
+    assert!(!is_blocked(&table, &[part(1)], 1_800));
+    assert_eq!(table.take_changes(), [BlockChange::Lifted(vec![part(1)])]);
+}
+
+#[test]
+fn parts_that_always_come_together_are_blocked_only_together() {
+    let mut table = CrashTable::default();
+    crash_in_turn(&mut table, 0, &[&[part(1), POISON][..]; 3]);
+    assert!(is_blocked(&table, &[part(1), POISON], 1_000));
+    assert!(
+        !is_blocked(&table, &[part(1)], 1_000),
+        "a run without the other part tells them apart"
+    );
+    table.record_completion(&[part(1)], time(1_000));
+    assert!(is_blocked(&table, &[part(2), POISON], 1_100));
+}
+
+#[test]
+fn a_part_that_used_to_work_is_not_blamed_beside_one_that_never_did() {
+    let mut table = CrashTable::default();
+    table.record_completion(&[part(1)], time(0));
+    // The second request with the part was at the upstreams by chance.
+    for number in 0..3 {
+        let (sent, upstream) = (1_000 + 200 * number, format!("u{number}"));
+        let crash = record(number, &upstream, sent, sent + 100, &[part(1), POISON]);
+        table.record_crash(crash, time(sent + 105));
+        let beside = record(100 + number, &upstream, sent, sent + 101, &[part(1)]);
+        table.record_crash(beside, time(sent + 105));
+    }
+    assert!(!is_blocked(&table, &[part(1)], 2_000));
+    assert!(is_blocked(&table, &[part(2), POISON], 2_000));
+}
+
+#[test]
+fn a_part_that_used_to_work_is_blamed_if_nothing_else_can_be() {
+    let mut table = CrashTable::default();
+    table.record_completion(&[part(1)], time(0));
+    crash_in_turn(&mut table, 1_000, &[&[part(1)][..]; 3]);
+    assert!(is_blocked(&table, &[part(1), part(2)], 2_000));
+}
+
+#[test]
+fn a_known_cause_explains_the_crash_for_all_requests_that_were_there() {
+    let mut table = CrashTable::default();
+    table.add_block(
+        CrashBlock {
+            suspects: vec![POISON],
+            blocked_ms: time(0).fleet_ms,
+        },
+        time(0),
+    );
+    for number in 0..4 {
+        let (sent, upstream) = (1_000 + 200 * number, format!("u{number}"));
+        table.record_crash(
+            record(number, &upstream, sent, sent + 100, &[part(1), POISON]),
+            time(sent + 105),
+        );
+        table.record_crash(
+            record(100 + number, &upstream, sent, sent + 101, &[part(2)]),
+            time(sent + 105),
+        );
+    }
+    assert!(!is_blocked(&table, &[part(1)], 2_000));
+    assert!(!is_blocked(&table, &[part(2)], 2_000));
+}
+
+#[test]
+fn a_cause_that_stays_the_same_becomes_a_block_that_others_learn() {
+    let mut table = CrashTable::default();
+    crash_in_turn(
+        &mut table,
+        0,
+        &[&[part(1), POISON], &[part(2), POISON], &[part(3), POISON]],
+    );
+    table.update(time(1_000));
+    assert!(table.blocks().is_empty());
+    table.update(time(3_000));
+    assert_eq!(table.blocks().len(), 1);
+    let mut other = CrashTable::default();
+    other.merge(table.report(at(3_000), false), time(3_100));
+    assert!(is_blocked(&other, &[part(4), POISON], 3_200));
+    // What is no longer news is part of complete reports.
+    assert_eq!(table.report(at(6_000), false), Default::default());
+    let mut late = CrashTable::default();
+    late.merge(table.report(at(6_000), true), time(6_100));
+    assert!(is_blocked(&late, &[part(4), POISON], 6_200));
+}
+
+#[test]
+fn crashes_at_different_instances_add_up() {
+    let mut tables = vec![CrashTable::default(); 3];
+    for (number, table) in (0..).zip(&mut tables) {
+        crash_in_turn(table, 300 * number, &[&[part(number), POISON]]);
+    }
+    let reports: Vec<_> = tables
+        .iter()
+        .map(|table| table.report(at(1_000), false))
+        .collect();
+    for table in &mut tables {
+        for report in &reports {
+            table.merge(report.clone(), time(1_000));
+        }
+        assert!(is_blocked(table, &[part(9), POISON], 1_100));
+    }
+}
+
+#[test]
+fn completions_at_other_instances_prevent_blame() {
+    let (mut table, mut other) = (CrashTable::default(), CrashTable::default());
+    other.record_completion(&[part(1)], time(0));
+    crash_in_turn(&mut table, 1_000, &[&[part(1), POISON][..]; 2]);
+    other.merge(table.report(at(1_400), false), time(1_400));
+    table.merge(other.report(at(1_450), false), time(1_450));
+    crash_in_turn(&mut table, 1_500, &[&[part(1), POISON]]);
+    assert!(
+        is_blocked(&table, &[part(2), POISON], 2_000),
+        "part 1 is known to work"
+    );
+}
+
+#[test]
+fn a_block_lapses_and_is_renewed_by_a_single_crash() {
+    let mut table = CrashTable::default();
+    let block = CrashBlock {
+        suspects: vec![POISON],
+        blocked_ms: time(0).fleet_ms,
+    };
+    assert!(table.add_block(block, time(0)));
+    assert!(is_blocked(&table, &[POISON], 599_000));
+    table.update(time(601_000));
+    assert!(!is_blocked(&table, &[POISON], 601_000));
+    crash_in_turn(&mut table, 602_000, &[&[part(1), POISON]]);
+    assert!(is_blocked(&table, &[part(2), POISON], 603_000));
+}
+
+#[test]
+fn what_has_expired_is_forgotten() {
+    let mut table = CrashTable::default();
+    crash_in_turn(&mut table, 0, &[&[POISON], &[POISON], &[POISON]]);
+    table.update(time(5_000));
+    table.update(time(1_300_000));
+    assert!(table.blocks().is_empty());
+    assert_eq!(table.report(at(1_300_000), true), Default::default());
+}
+
+/// A run at an upstream.
+struct ModelRun {
+    request: u64,
+    instance: usize,
+    upstream: usize,
+    sent: u64,
+    ends: u64,
+    attempts: u32,
+    keys: Vec<SuspectKey>,
+}
+
+impl ModelRun {
+    fn is_poison(&self) -> bool {
+        self.keys.contains(&POISON) && self.sent >= POISON_FROM_MS
+    }
+}
+
+/// Traffic of the model.
+struct ModelTraffic {
+    /// Requests a second that crash no engine.
+    sound_rate: u64,
+    /// Requests a second with the part that crashes engines.
+    poison_rate: u64,
+    /// True if all prompts begin with the same part.
+    has_common_part: bool,
+    /// True if the part that crashes engines was in other prompts before.
+    has_turned: bool,
+    /// True if engines crash by themselves, too.
+    has_own_crashes: bool,
+}
+
+/// A fleet in front of engines that crash under one part of prompts, and now and then by themselves.
+struct CrashModel {
+    rng: u64,
+    tables: Vec<CrashTable>,
+    down_until: Vec<u64>,
+    runs: Vec<ModelRun>,
+    crashes: Vec<u64>,
+    poison_arrivals: Vec<u64>,
+    /// Requests without the part, since the time when they have to be served again: all, and those that were sent.
+    sound: (u32, u32),
+    next_request: u64,
+}
+
+/// Length of a step of the model, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// Time between the crash of an engine and its return, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+
+/// Time from which the part crashes engines, in milliseconds.
+const POISON_FROM_MS: u64 = 5_000;
+
+/// Time after the fifth crash from which requests with the part are counted, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+impl CrashModel {
+    fn new(seed: u64, instances: usize, engines: usize) -> Self {
+        Self {
+            rng: seed,
+            tables: vec![CrashTable::default(); instances],
+            down_until: vec![0; engines],
+            runs: Vec::new(),
+            crashes: Vec::new(),
+            poison_arrivals: Vec::new(),
+            sound: (0, 0),
+            next_request: 0,
+        }
+    }
+
+    fn random(&mut self, below: u64) -> u64 {
+        self.rng = self
+            .rng
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.rng >> 33) % below.max(1)
+    }
+
+    /// Sends a request to an engine that is up, unless it is blocked; returns true if it was sent.
+    fn send(&mut self, ms: u64, mut run: ModelRun) -> bool {
+        let up: Vec<usize> = (0..self.down_until.len())
+            .filter(|&engine| self.down_until[engine] <= ms)
+            .collect();
+        if up.is_empty() || is_blocked(&self.tables[run.instance], &run.keys, ms) {
+            return false;
+        }
+        run.upstream = up[self.random(up.len() as u64) as usize];
+        run.sent = ms;
+        run.ends = ms
+            + if run.is_poison() {
+                150
+            } else {
+                200 + self.random(600)
+            };
+        if run.is_poison() {
+            self.poison_arrivals.push(ms);
+        }
+        self.runs.push(run);
+        true
+    }
+
+    fn arrive(&mut self, ms: u64, keys: Vec<SuspectKey>) -> bool {
+        self.next_request += 1;
+        let instance = self.random(self.tables.len() as u64) as usize;
+        let run = ModelRun {
+            request: self.next_request,
+            instance,
+            upstream: 0,
+            sent: ms,
+            ends: ms,
+            attempts: 1,
+            keys,
+        };
+        self.send(ms, run)
+    }
+
+    /// Breaks all runs at an engine; each is sent once more.
+    fn crash(&mut self, ms: u64, engine: usize) {
+        self.down_until[engine] = ms + DOWN_MS;
+        let (broken, others) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|run| run.upstream == engine);
+        self.runs = others;
+        for run in Vec::from_iter::<Vec<ModelRun>>(broken) {
+            let crash = record(run.request, &format!("u{engine}"), run.sent, ms, &run.keys);
+            self.tables[run.instance].record_crash(crash, time(ms));
+            if run.attempts < 2 {
+                self.send(
+                    ms,
+                    ModelRun {
+                        attempts: run.attempts + 1,
+                        ..run
+                    },
+                );
+            }
+        }
+    }
+
+    fn finish_runs(&mut self, ms: u64) {
+        while let Some(at) = self.runs.iter().position(|run| run.ends <= ms) {
+            if self.runs[at].is_poison() {
+                self.crashes.push(ms);
+                self.crash(ms, self.runs[at].upstream);
+            } else {
+                let run = self.runs.swap_remove(at);
+                self.tables[run.instance].record_completion(&run.keys, time(ms));
+            }
+        }
+    }
+
+    fn exchange(&mut self, ms: u64, is_complete: bool) {
+        for table in &mut self.tables {
+            table.update(time(ms));
+        }
+        let reports: Vec<_> = self
+            .tables
+            .iter()
+            .map(|table| table.report(at(ms), is_complete))
+            .collect();
+        for table in &mut self.tables {
+            for report in &reports {
+                table.merge(report.clone(), time(ms));
+            }
+        }
+    }
+
+    /// Plays 40 s.
+    fn play(&mut self, traffic: &ModelTraffic) {
+        let common: &[SuspectKey] = if traffic.has_common_part {
+            &[part(1_000)]
+        } else {
+            &[]
+        };
+        for ms in (0..40_000).step_by(STEP_MS as usize) {
+            self.finish_runs(ms);
+            if self.random(1_000) < traffic.sound_rate * STEP_MS {
+                let keys = [common, &[part(self.random(50))]].concat();
+                let is_sent = self.arrive(ms, keys);
+                if self
+                    .crashes
+                    .get(4)
+                    .is_some_and(|fifth| ms > fifth + 2 * CONTACT_MS)
+                {
+                    self.sound.0 += 1;
+                    self.sound.1 += u32::from(is_sent);
+                }
+            }
+            let has_part = ms >= POISON_FROM_MS || traffic.has_turned;
+            if has_part && self.random(1_000) < traffic.poison_rate * STEP_MS {
+                let keys = [common, &[part(self.random(50)), POISON]].concat();
+                self.arrive(ms, keys);
+            }
+            if traffic.has_own_crashes && self.random(4_000) < STEP_MS {
+                let engine = self.random(self.down_until.len() as u64) as usize;
+                self.crash(ms, engine);
+            }
+            if ms % 200 == 0 {
+                self.exchange(ms, ms % 1_000 == 0);
+            }
+        }
+    }
+}
+
+/// Guards against engines that crash one after the other under one part of prompts.
+#[test]
+fn a_fleet_stops_sending_a_part_that_crashes_engines_and_serves_the_rest() {
+    for seed in 0..60 {
+        let (instances, engines) = [(1, 4), (6, 5), (8, 8), (20, 30)][seed % 4];
+        let mut model = CrashModel::new(seed as u64, instances, engines);
+        model.play(&ModelTraffic {
+            sound_rate: 30,
+            poison_rate: 1 + seed as u64 % 8,
+            has_common_part: seed % 5 == 1,
+            has_turned: seed % 5 == 2,
+            has_own_crashes: seed % 3 == 0,
+        });
+        let counted = model.crashes.get(4).map_or(0, |fifth| {
+            let arrivals = model.poison_arrivals.iter();
+            arrivals.filter(|at| **at > fifth + CONTACT_MS).count()
+        });
+        assert!(
+            counted <= 3,
+            "seed {seed}: {counted} requests after {:?}",
+            model.crashes
+        );
+        let (all, sent) = model.sound;
+        assert!(
+            sent * 10 >= all * 9,
+            "seed {seed}: {sent} of {all} others were sent"
+        );
+    }
+}
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decision logic.
 
 mod choice;
+mod crashes;
 mod duty;
 mod exchange;
 mod load;
