Log a digest that is the same for the same request of a customer

Change: 'attempt failed' names a digest of customer, host, method, path and body. Nothing is decided by it. Ruled out: the attempt id, which is new each time; the path alone, which other requests share.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -56,6 +57,8 @@
     pub tried: Vec<UpstreamId>,
     /// Properties that the request may share with others that crash upstreams.
     pub suspects: Vec<SuspectKey>,
+    /// Digest of what makes it the same request as another.
+    pub digest: u64,
     /// When the request was last sent to an upstream.
     pub sent_at: MonoTime,
     /// Engine that prefilled the prompt for another one.
@@ -129,9 +132,18 @@
     let engine = settings
         .service(service.as_str())
         .and_then(|rule| rule.engine.as_ref());
+    let identity = RequestIdentity {
+        customer: owner.as_ref().map(|owner| &owner.customer),
+        host: host(&parts),
+        method: parts.method.as_str(),
+        path: parts.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        body: &body,
+    };
+    let digest = identity.digest();
     let shared_parts = head.prompt.as_ref().map(PromptShape::shared_parts);
     let call = Call {
         suspects: suspect_parts(shared_parts.unwrap_or_default()),
+        digest,
         sent_at: arrived,
         kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
         gateway,
@@ -347,7 +359,8 @@
         log::info!(
             target: DECISION_TARGET,
             request = self.head.attempt_id, upstream:% = entry.id, failure = failure.as_str(), set_aside = is_ejected,
-            attempts = self.attempts.sent(), parts = part_ids(parts.unwrap_or_default());
+            attempts = self.attempts.sent(), digest = format!("{:016x}", self.digest),
+            parts = part_ids(parts.unwrap_or_default());
             "attempt failed"
         );
         metrics::counter!("gateway_attempt_failures_total", "failure" => failure.as_str()).increment(1);
--- a/marigoldlock_core/src/gateway/call.rs
+++ b/marigoldlock_core/src/gateway/call.rs
@@ -53,6 +53,37 @@
     pub prompt: Option<PromptShape>,
 }
 
+/// What makes two requests of callers the same, whatever ids their attempts have.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestIdentity<'a> {
+    /// Customer that owns the API key.
+    pub customer: Option<&'a CustomerId>,
+    /// Host that the caller named.
+    pub host: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+}
+
+impl RequestIdentity<'_> {
+    /// Digest of the request.
+    pub fn digest(&self) -> u64 {
+        let customer = self.customer.map_or("", CustomerId::as_str);
+        let fields = [customer, self.host, self.method, self.path];
+        let mut hasher = blake3::Hasher::new();
+        for field in fields.map(str::as_bytes).into_iter().chain([self.body]) {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        let mut digest = [0; size_of::<u64>()];
+        hasher.finalize_xof().fill(&mut digest);
+        u64::from_le_bytes(digest)
+    }
+}
+
 /// Why the gateway refuses a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RefusalCause {
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -40,7 +40,7 @@
         AttemptHead, CallerProtocol, DutyApi, DutyOutcome, KvSource, RecordFormat, ResponseHead, SharedStore,
         StoreError, StoreStream, UpstreamProtocol,
     };
-    pub use super::call::{CallHead, PromptPart, PromptShape, Refusal, RefusalCause};
+    pub use super::call::{CallHead, PromptPart, PromptShape, Refusal, RefusalCause, RequestIdentity};
     pub use super::catalog::{UpstreamCatalog, UpstreamEntry, UpstreamRole};
     pub use super::route::{CallKind, GatewaySettings, RouteRule, ServiceRule};
 }
