--- a/marigoldlock/tests/platform_crashes.rs
+++ b/marigoldlock/tests/platform_crashes.rs
@@ -165,3 +165,104 @@
         assert_eq!(stream(&site, number, &sound_prompt(number)).await, 200);
     }
 }
+
+/// Parts of a prompt that no other request shares.
+const OWN_PART: &str = "bb:5000";
+
+async fn start_with_crashing_path(instances: usize, path: &str) -> Site {
+    let site = Site::start(instances).await;
+    for id in ["a1", "a2"] {
+        site.runner(id).set_faults(|faults| {
+            faults.crashing_path = Some(path.into());
+            faults.downtime = DOWNTIME;
+        });
+    }
+    site
+}
+
+/// Sends the same request again and again, to all instances in turn, and returns each attempt with its status.
+async fn repeat(site: &Site, path: &str, label: &str, length: Duration) -> Vec<(String, u16)> {
+    let started = Instant::now();
+    let mut answers = Vec::new();
+    while started.elapsed() < length {
+        let number = answers.len();
+        let front = site.instances[number % site.instances.len()].addresses().front;
+        let attempt = format!("{label}{number}");
+        let answer = site.caller.send_prompt(front, path, &attempt, SITE_KEY, OWN_PART);
+        let status = answer.await.unwrap().status().as_u16();
+        answers.push((attempt, status));
+        tokio::time::sleep(PAUSE).await;
+    }
+    answers
+}
+
+/// Requests with the path that reached an upstream later than the platform allows any number of after the third crash.
+fn arrivals_after_third_crash(site: &Site, path: &str) -> usize {
+    let mut crashes: Vec<Instant> = site.upstreams.iter().flat_map(UpstreamStandin::crashes).collect();
+    crashes.sort_unstable();
+    let Some(third) = crashes.get(2) else { return 0 };
+    let arrivals = site.upstreams.iter().flat_map(UpstreamStandin::arrivals);
+    arrivals
+        .filter(|arrival| arrival.path == path && arrival.at >= *third + CONTACT)
+        .count()
+}
+
+/// Guards against a request that crashes each upstream that runs it and comes again at all instances.
+#[tokio::test]
+async fn a_request_that_crashes_upstreams_is_no_longer_sent_to_any() {
+    let site = start_with_crashing_path(3, "/look/crash").await;
+    repeat(&site, "/look/crash", "c", CONTACT * 2).await;
+    let counted = arrivals_after_third_crash(&site, "/look/crash");
+    assert!(
+        counted <= ALLOWED,
+        "{counted} requests reached upstreams, {ALLOWED} allowed"
+    );
+    let others = repeat(&site, "/look/x", "o", Duration::from_secs(1)).await;
+    assert!(
+        others.iter().all(|(_, status)| *status == 200),
+        "other requests of the route are served: {others:?}"
+    );
+    let refused = site.send(0, "/look/crash", "last").await;
+    assert_eq!(refused.status(), 503, "the request has not run");
+    assert!(refused.headers().contains_key("retry-after"));
+}
+
+/// Guards against the same for requests that run at most once: each one that comes is a new one.
+#[tokio::test]
+async fn a_booking_that_crashes_upstreams_is_no_longer_sent_to_any() {
+    let site = start_with_crashing_path(3, "/book/crash").await;
+    let answers = repeat(&site, "/book/crash", "c", CONTACT * 2).await;
+    let counted = arrivals_after_third_crash(&site, "/book/crash");
+    assert!(
+        counted <= ALLOWED,
+        "{counted} bookings reached upstreams, {ALLOWED} allowed"
+    );
+    for (attempt, status) in answers {
+        let runs = site.runs_of(&attempt);
+        assert!(runs <= 1, "{attempt} ran {runs} times");
+        assert!(
+            runs == 0 || status != 503,
+            "{attempt} has run and was refused as not run"
+        );
+    }
+}
+
+/// Guards against instances and fleets that start after the crashes and know nothing of them.
+#[tokio::test]
+async fn instances_that_start_later_send_no_request_that_crashes_upstreams() {
+    let mut site = start_with_crashing_path(2, "/look/crash").await;
+    repeat(&site, "/look/crash", "c", CONTACT).await;
+    for instance in std::mem::take(&mut site.instances) {
+        instance.abort();
+    }
+    for number in 0..3 {
+        site.start_instance(number).await.unwrap();
+    }
+    tokio::time::sleep(CONTACT).await;
+    repeat(&site, "/look/crash", "d", Duration::from_secs(2)).await;
+    let counted = arrivals_after_third_crash(&site, "/look/crash");
+    assert!(
+        counted <= ALLOWED,
+        "{counted} requests reached upstreams, {ALLOWED} allowed"
+    );
+}
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -123,6 +123,7 @@
         is_prefill,
         is_accepted: true,
         prompt_parts: String::new(),
+        path: String::new(),
         at: start + Duration::from_millis(number),
     };
     let excess = |requests: u64| {
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -51,6 +51,8 @@
     pub rate_limit: Option<f64>,
     /// Id of a prompt part, as callers write it; the upstream crashes when it begins to answer a request with it.
     pub crashing_part: Option<String>,
+    /// Path; the upstream crashes when it begins to run a request with it.
+    pub crashing_path: Option<String>,
     /// Time for which the upstream is down after a crash.
     pub downtime: Duration,
     /// Duration of a request.
@@ -59,7 +61,10 @@
 
 impl UpstreamFaults {
     /// True if the upstream crashes when it runs the request.
-    fn crashes_under(&self, headers: &HeaderMap) -> bool {
+    fn crashes_under(&self, headers: &HeaderMap, path: &str) -> bool {
+        if self.crashing_path.as_deref() == Some(path) {
+            return true;
+        }
         let listed = text(headers, "prompt-prefix").unwrap_or_default();
         self.crashing_part.as_ref().is_some_and(|id| {
             let mut ids = listed.split(',').filter_map(|part| part.split_once(':'));
@@ -102,6 +107,8 @@
     pub is_accepted: bool,
     /// Parts of its prompt, as the caller wrote them.
     pub prompt_parts: String,
+    /// Request path.
+    pub path: String,
     /// When the request arrived.
     pub at: Instant,
 }
@@ -321,6 +328,7 @@
         is_prefill,
         is_accepted: !is_wrong_stage && !faults.rejects_requests,
         prompt_parts: text(headers, "prompt-prefix").unwrap_or_default().to_owned(),
+        path: path.to_owned(),
         at: Instant::now(),
     });
     if is_wrong_stage {
@@ -349,7 +357,7 @@
         body,
     });
     tokio::time::sleep(faults.delay).await;
-    if !is_prefill && faults.crashes_under(headers) {
+    if !is_prefill && faults.crashes_under(headers, path) {
         state.crash(faults.downtime);
         // The crash aborts this task.
         std::future::pending::<()>().await;
