Let a known cause excuse only what was not at other crashes

What callers would see: a request that crashes upstreams is sent again for a while although it was blocked. Cause: a block on something that had only been there by chance explained each crash in which it had a part; those crashes were no longer counted against the request that did it, so its own block was lifted. Change: something is excused only if a known cause was there at each of its crashes. Ruled out: to excuse it only if the known cause has more crashes; a block from before the crashes would then excuse nothing at once.

--- a/marigoldlock_core/src/gateway/blame.rs
+++ b/marigoldlock_core/src/gateway/blame.rs
@@ -3,8 +3,8 @@
 //! A crash breaks all requests at its upstream, so each is only a suspect. What they have in common is told apart by
 //! three facts. A run that completes clears whatever its request contains. A request that was sent after a crash was
 //! seen, and crashes the next upstream, is worth more than many that were at one upstream together, so only crashes
-//! that follow one another in this way are counted. And a crash that a known cause explains says nothing about the
-//! other requests that were there.
+//! that follow one another in this way are counted. And what was only there when a known cause crashed an upstream, but
+//! not each time, was there by chance.
 //!
 //! What can't be told apart is blocked only in combination: a request that has just a part of it may be sent, and then
 //! either clears that part or leaves fewer suspects.
@@ -82,20 +82,38 @@
 struct OpenCrash<'a> {
     record: &'a CrashRecord,
     suspects: Vec<SuspectKey>,
-    /// A known cause that the request contains.
-    cause: Option<&'a [SuspectKey]>,
+    /// Index of the crash; records of one crash have the same.
+    crash: usize,
 }
 
-impl OpenCrash<'_> {
-    fn is_same_crash(&self, other: &Self) -> bool {
-        let spread = self.record.crashed_ms.abs_diff(other.record.crashed_ms);
-        self.record.upstream == other.record.upstream && u128::from(spread) <= REPORT_SPREAD.as_millis()
+impl<'a> OpenCrash<'a> {
+    /// Returns the records in the order of the crashes.
+    fn group(records: &'a [CrashRecord], completions: &CompletionTimes) -> Vec<Self> {
+        let mut sorted: Vec<&CrashRecord> = records.iter().collect();
+        sorted.sort_by_key(|record| record.crashed_ms);
+        let mut crashes: Vec<Self> = Vec::with_capacity(sorted.len());
+        for (index, record) in sorted.into_iter().enumerate() {
+            let known = crashes.iter().find(|known| is_same_crash(known.record, record));
+            crashes.push(Self {
+                record,
+                suspects: open_suspects(record, completions),
+                crash: known.map_or(index, |known| known.crash),
+            });
+        }
+        crashes
     }
 }
 
+fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
+    let spread = u128::from(one.crashed_ms.abs_diff(other.crashed_ms));
+    one.upstream == other.upstream && spread <= REPORT_SPREAD.as_millis()
+}
+
 struct CrashEvidence<'a> {
     crashes: Vec<OpenCrash<'a>>,
     completions: &'a CompletionTimes,
+    /// Known causes, each with the crashes that it explains.
+    known: Vec<(&'a [SuspectKey], FastSet<usize>)>,
 }
 
 impl<'a> CrashEvidence<'a> {
@@ -104,39 +122,28 @@
         completions: &'a CompletionTimes,
         known: &'a [Vec<SuspectKey>],
     ) -> Self {
-        let mut crashes: Vec<OpenCrash<'a>> = records
+        let crashes = OpenCrash::group(records, completions);
+        let explained = |cause: &[SuspectKey]| {
+            let crashes = crashes.iter();
+            let explained = crashes.filter(|crash| contains_all(&crash.record.suspects, cause));
+            explained.map(|crash| crash.crash).collect()
+        };
+        let known = known
             .iter()
-            .map(|record| OpenCrash {
-                record,
-                suspects: open_suspects(record, completions),
-                cause: known
-                    .iter()
-                    .find(|cause| contains_all(&record.suspects, cause))
-                    .map(Vec::as_slice),
-            })
+            .map(|cause| (cause.as_slice(), explained(cause)))
             .collect();
-        crashes.sort_by_key(|crash| crash.record.crashed_ms);
-        let (explained, mut open): (Vec<_>, Vec<_>) =
-            crashes.into_iter().partition(|crash| crash.cause.is_some());
-        // The other requests at an upstream that a known cause has crashed were there by chance.
-        open.retain(|crash| !explained.iter().any(|known| known.is_same_crash(crash)));
-        open.extend(explained);
-        open.sort_by_key(|crash| crash.record.crashed_ms);
         Self {
-            crashes: open,
+            crashes,
             completions,
+            known,
         }
     }
 
     /// Suspects that are to be blocked in combination because of `key`.
     fn cause(&self, key: SuspectKey) -> Option<Vec<SuspectKey>> {
-        let crashes: Vec<&OpenCrash<'a>> = self
-            .crashes
-            .iter()
-            .filter(|crash| crash.suspects.contains(&key))
-            .filter(|crash| crash.cause.is_none_or(|cause| cause.contains(&key)))
-            .collect();
-        if successive(&crashes) < CRASHES_TO_BLOCK {
+        let crashes = self.crashes.iter();
+        let crashes: Vec<&OpenCrash<'a>> = crashes.filter(|crash| crash.suspects.contains(&key)).collect();
+        if successive(&crashes) < CRASHES_TO_BLOCK || self.was_there_by_chance(key, &crashes) {
             return None;
         }
         if !self.has_completed(key) {
@@ -157,13 +164,20 @@
             .then_some(common)
     }
 
+    /// True if a known cause was there at each of these crashes of a suspect.
+    fn was_there_by_chance(&self, key: SuspectKey, crashes: &[&OpenCrash<'_>]) -> bool {
+        let own: FastSet<usize> = crashes.iter().map(|crash| crash.crash).collect();
+        let mut others = self.known.iter().filter(|(cause, _)| !cause.contains(&key));
+        others.any(|(_, explained)| own.is_subset(explained))
+    }
+
     fn has_completed(&self, key: SuspectKey) -> bool {
         self.completions.contains_key(&key)
     }
 
     /// Suspects of all requests that a crash broke.
     fn suspects_at(&self, crash: &OpenCrash<'a>) -> Vec<SuspectKey> {
-        let others = self.crashes.iter().filter(|other| other.is_same_crash(crash));
+        let others = self.crashes.iter().filter(|other| other.crash == crash.crash);
         others.flat_map(|other| other.suspects.iter().copied()).collect()
     }
 }
--- a/marigoldlock_core/src/gateway/tests/crashes.rs
+++ b/marigoldlock_core/src/gateway/tests/crashes.rs
@@ -151,6 +151,20 @@
     assert!(!is_blocked(&table, &[part(2)], 2_000));
 }
 
+#[test]
+fn a_known_cause_explains_no_crash_of_what_crashes_others_without_it() {
+    let mut table = CrashTable::default();
+    let blamed_by_chance = CrashBlock {
+        suspects: vec![part(41)],
+        blocked_ms: time(0).fleet_ms,
+    };
+    table.add_block(blamed_by_chance, time(0));
+    crash_in_turn(&mut table, 1_000, &[&[part(1), POISON], &[part(2), POISON]]);
+    table.record_crash(record(9, "u", 2_000, 2_100, &[part(41)]), time(2_105));
+    table.record_crash(record(10, "u", 2_000, 2_101, &[part(3), POISON]), time(2_105));
+    assert!(is_blocked(&table, &[part(4), POISON], 2_200));
+}
+
 #[test]
 fn a_cause_that_stays_the_same_becomes_a_block_that_others_learn() {
     let mut table = CrashTable::default();
