Block requests that crash upstreams, on all instances

What callers saw: upstreams of a plain service crashed one after the other under one read that came again and again; until they were back, orders and reads were refused, and orders that were there with it ended with unknown outcome. Cause: as with prompt parts, a failed attempt was held against its upstream only; nothing told that the next request is the same, as its attempt id is new. Class: a failure whose cause is the request is treated as one of the upstream. Change: the digest of customer, host, method, path and body is one more property that crashes may have in common. All else is as for prompt parts: blame, exchange, the store, the refusal. A response of any status that was read to its end clears the request. Heartbeats have version 4. Why it works: three crashes that follow one another under the same request block it alone; runs of others clear what they share. Ruled out: the path alone, which other requests share; a limit on attempts per digest on each instance, which as many instances multiply.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -140,9 +140,8 @@
         body: &body,
     };
     let digest = identity.digest();
-    let shared_parts = head.prompt.as_ref().map(PromptShape::shared_parts);
     let call = Call {
-        suspects: suspect_parts(shared_parts.unwrap_or_default()),
+        suspects: suspect_keys(digest, head.prompt.as_ref()),
         digest,
         sent_at: arrived,
         kv_tokens: engine.map_or(0, |engine| engine.kv_tokens),
@@ -173,8 +172,13 @@
     }
 }
 
-fn suspect_parts(parts: &[PromptPart]) -> Vec<SuspectKey> {
-    parts.iter().map(|part| SuspectKey::PromptPart(part.id)).collect()
+/// Properties of a request that may make it crash upstreams.
+fn suspect_keys(digest: u64, prompt: Option<&PromptShape>) -> Vec<SuspectKey> {
+    let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
+    let parts = parts.iter().map(|part| SuspectKey::PromptPart(part.id));
+    std::iter::once(SuspectKey::Request(digest))
+        .chain(parts)
+        .collect()
 }
 
 /// Ids of prompt parts as callers write them, separated by commas.
@@ -388,6 +392,7 @@
             match result {
                 Ok(response) if response.status() == StatusCode::INTERNAL_SERVER_ERROR => {
                     self.count_started();
+                    self.record_completion();
                     self.record_failure(&entry, AttemptFailure::Errored);
                     fallback = Some(response);
                 }
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -662,7 +662,7 @@
                 usage: Vec::new(),
                 crashes: CrashReport::default(),
             };
-            let mut bytes = vec![3];
+            let mut bytes = vec![4];
             bincode::serde::encode_into_std_write(&heartbeat, &mut bytes, bincode::config::standard())
                 .unwrap();
             socket.send_to(&bytes, target).await.unwrap();
--- a/marigoldlock_core/src/gateway/blame.rs
+++ b/marigoldlock_core/src/gateway/blame.rs
@@ -28,6 +28,8 @@
 /// A property of a request that may make it crash upstreams.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum SuspectKey {
+    /// Digest of the whole request, which may come again.
+    Request(u64),
     /// A prompt part that other requests may share.
     PromptPart(u64),
 }
--- a/marigoldlock_core/src/gateway/tests/crashes.rs
+++ b/marigoldlock_core/src/gateway/tests/crashes.rs
@@ -6,6 +6,7 @@
 use super::*;
 
 const POISON: SuspectKey = SuspectKey::PromptPart(666);
+const POISON_REQUEST: SuspectKey = SuspectKey::Request(u64::MAX);
 
 fn part(id: u64) -> SuspectKey {
     SuspectKey::PromptPart(id)
@@ -234,6 +235,27 @@
     assert!(is_blocked(&table, &[part(2), POISON], 603_000));
 }
 
+#[test]
+fn a_request_that_comes_again_is_blocked_after_three_successive_crashes() {
+    let mut table = CrashTable::default();
+    let request = SuspectKey::Request(7);
+    // The upstreams also run other requests with the same part.
+    table.record_completion(&[SuspectKey::Request(1), part(1)], time(0));
+    crash_in_turn(&mut table, 1_000, &[&[request, part(1)][..]; 3]);
+    assert!(is_blocked(&table, &[request, part(1)], 2_000));
+    assert!(!is_blocked(&table, &[SuspectKey::Request(2), part(1)], 2_000));
+}
+
+#[test]
+fn a_part_is_found_although_each_request_with_it_is_sent_several_times() {
+    let mut table = CrashTable::default();
+    let requests: Vec<[SuspectKey; 2]> = (0..2)
+        .map(|number| [SuspectKey::Request(number), POISON])
+        .collect();
+    crash_in_turn(&mut table, 0, &[&requests[0][..], &requests[0], &requests[1]]);
+    assert!(is_blocked(&table, &[SuspectKey::Request(9), POISON], 1_000));
+}
+
 #[test]
 fn what_has_expired_is_forgotten() {
     let mut table = CrashTable::default();
@@ -257,7 +279,7 @@
 
 impl ModelRun {
     fn is_poison(&self) -> bool {
-        self.keys.contains(&POISON) && self.sent >= POISON_FROM_MS
+        self.keys.contains(&POISON_REQUEST) || self.keys.contains(&POISON) && self.sent >= POISON_FROM_MS
     }
 }
 
@@ -265,8 +287,10 @@
 struct ModelTraffic {
     /// Requests a second that crash no engine.
     sound_rate: u64,
-    /// Requests a second with the part that crashes engines.
+    /// Requests a second that crash engines.
     poison_rate: u64,
+    /// True if it is one request that comes again, false if it is a part that requests share.
+    is_one_request: bool,
     /// True if all prompts begin with the same part.
     has_common_part: bool,
     /// True if the part that crashes engines was in other prompts before.
@@ -283,7 +307,7 @@
     runs: Vec<ModelRun>,
     crashes: Vec<u64>,
     poison_arrivals: Vec<u64>,
-    /// Requests without the part, since the time when they have to be served again: all, and those that were sent.
+    /// Requests that crash no engine, since the time when they have to be served again: all, and those that were sent.
     sound: (u32, u32),
     next_request: u64,
 }
@@ -347,6 +371,12 @@
 
     fn arrive(&mut self, ms: u64, keys: Vec<SuspectKey>) -> bool {
         self.next_request += 1;
+        let digest = if keys.contains(&POISON_REQUEST) {
+            None
+        } else {
+            Some(SuspectKey::Request(self.next_request))
+        };
+        let keys = digest.into_iter().chain(keys).collect();
         let instance = self.random(self.tables.len() as u64) as usize;
         let run = ModelRun {
             request: self.next_request,
@@ -431,10 +461,14 @@
                     self.sound.1 += u32::from(is_sent);
                 }
             }
-            let has_part = ms >= POISON_FROM_MS || traffic.has_turned;
-            if has_part && self.random(1_000) < traffic.poison_rate * STEP_MS {
-                let keys = [common, &[part(self.random(50)), POISON]].concat();
-                self.arrive(ms, keys);
+            let has_cause = ms >= POISON_FROM_MS || traffic.has_turned;
+            if has_cause && self.random(1_000) < traffic.poison_rate * STEP_MS {
+                let cause = if traffic.is_one_request {
+                    [POISON_REQUEST, part(7)]
+                } else {
+                    [part(self.random(50)), POISON]
+                };
+                self.arrive(ms, [common, &cause].concat());
             }
             if traffic.has_own_crashes && self.random(4_000) < STEP_MS {
                 let engine = self.random(self.down_until.len() as u64) as usize;
@@ -447,22 +481,16 @@
     }
 }
 
-/// Guards against engines that crash one after the other under one part of prompts.
-#[test]
-fn a_fleet_stops_sending_a_part_that_crashes_engines_and_serves_the_rest() {
+/// Plays 40 s with each of 60 seeds, and checks how many of the requests that crash engines reached one later than
+/// [`CONTACT_MS`] after the crash of this number, and that the others are served.
+fn check_model(counted_crash: usize, traffic: impl Fn(u64) -> ModelTraffic) {
     for seed in 0..60 {
-        let (instances, engines) = [(1, 4), (6, 5), (8, 8), (20, 30)][seed % 4];
-        let mut model = CrashModel::new(seed as u64, instances, engines);
-        model.play(&ModelTraffic {
-            sound_rate: 30,
-            poison_rate: 1 + seed as u64 % 8,
-            has_common_part: seed % 5 == 1,
-            has_turned: seed % 5 == 2,
-            has_own_crashes: seed % 3 == 0,
-        });
-        let counted = model.crashes.get(4).map_or(0, |fifth| {
+        let (instances, engines) = [(1, 4), (6, 5), (8, 8), (20, 30)][seed as usize % 4];
+        let mut model = CrashModel::new(seed, instances, engines);
+        model.play(&traffic(seed));
+        let counted = model.crashes.get(counted_crash - 1).map_or(0, |crash| {
             let arrivals = model.poison_arrivals.iter();
-            arrivals.filter(|at| **at > fifth + CONTACT_MS).count()
+            arrivals.filter(|at| **at > crash + CONTACT_MS).count()
         });
         assert!(
             counted <= 3,
@@ -476,3 +504,29 @@
         );
     }
 }
+
+/// Guards against engines that crash one after the other under one part of prompts.
+#[test]
+fn a_fleet_stops_sending_a_part_that_crashes_engines_and_serves_the_rest() {
+    check_model(5, |seed| ModelTraffic {
+        sound_rate: 30,
+        poison_rate: 1 + seed % 8,
+        is_one_request: false,
+        has_common_part: seed % 5 == 1,
+        has_turned: seed % 5 == 2,
+        has_own_crashes: seed % 3 == 0,
+    });
+}
+
+/// Guards against upstreams that crash one after the other under one request that comes again.
+#[test]
+fn a_fleet_stops_sending_a_request_that_crashes_upstreams_and_serves_the_rest() {
+    check_model(3, |seed| ModelTraffic {
+        sound_rate: 30,
+        poison_rate: 1 + seed % 8,
+        is_one_request: true,
+        has_common_part: seed % 5 == 1,
+        has_turned: false,
+        has_own_crashes: seed % 3 == 0,
+    });
+}
