Make the soak's check of the retry budget able to fail

A check that can't fail is a defect. Change: a mix of faults in which all upstreams lose their answers the whole time while instances restart; the report says how much of the budget was used at most; 'all upstreams lose their answers' is one of the other faults, too.

--- a/marigoldctl/src/soak.rs
+++ b/marigoldctl/src/soak.rs
@@ -5,7 +5,7 @@
 
 use clap::Args;
 use eyre::{Result, WrapErr, ensure};
-use marigoldlock_fleet::soak::{self, SoakOptions};
+use marigoldlock_fleet::soak::{self, FaultMix, RETRY_RATIO, SoakOptions};
 
 /// Arguments of `marigoldctl soak`.
 #[derive(Args, Clone, Debug)]
@@ -25,6 +25,9 @@
     /// Number of callers.
     #[arg(long, default_value_t = 8)]
     callers: usize,
+    /// Draw only faults that make instances retry.
+    #[arg(long)]
+    retries: bool,
     /// Path of the marigoldlock binary [default: the one in the folder of this tool].
     #[arg(long)]
     program: Option<PathBuf>,
@@ -59,6 +62,12 @@
             instances: args.instances.into(),
             fault_period: Duration::from_secs(args.seconds),
             callers: args.callers,
+            fault_mix: if args.retries {
+                FaultMix::Retries
+            } else {
+                FaultMix::Any
+            },
+            told_retry_ratio: RETRY_RATIO,
             folder: args.folder.join(seed.to_string()),
         };
         let report = soak::run(&options).await?;
--- a/marigoldlock_fleet/src/soak/budget.rs
+++ b/marigoldlock_fleet/src/soak/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use marigoldlock_standin::site::ArrivalRecord;
 use marigoldlock_wire::prelude::*;
 
@@ -37,24 +38,45 @@
         }
     }
 
-    /// Describes the first window with more repeats than allowed. The requests are counted in that window, the one
-    /// before it or the one half a window before it, whichever has most.
-    pub fn find_excess(&self) -> Option<String> {
+    /// The window with the most repeats compared to what is allowed; `None` if there were no repeats.
+    pub fn fullest_window(&self) -> Option<RepeatWindow> {
+        let windows = self.repeats.iter().map(|start| self.window(*start));
+        windows.max_by(|one, other| one.used().total_cmp(&other.used()))
+    }
+
+    /// Counts the repeats from `start` on. The requests are counted in that window, the one before it or the one half a
+    /// window before it, whichever has most.
+    fn window(&self, start: Instant) -> RepeatWindow {
         let count = |times: &[Instant], from: Instant| {
             let window = from..from + RETRY_WINDOW;
             times.iter().filter(|time| window.contains(time)).count()
         };
-        self.repeats.iter().find_map(|start| {
-            let starts = [0, 1, 2].map(|halves| start.checked_sub(RETRY_WINDOW / 2 * halves));
-            let requests = starts
-                .iter()
-                .flatten()
-                .map(|from| count(&self.requests, *from))
-                .max()?;
-            let repeats = count(&self.repeats, *start);
-            let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
-            (repeats as f64 > allowed)
-                .then(|| format!("{repeats} repeats of {requests} requests, {allowed:.0} allowed"))
-        })
+        let starts = [0, 1, 2].map(|halves| start.checked_sub(RETRY_WINDOW / 2 * halves));
+        let requests = starts.iter().flatten().map(|from| count(&self.requests, *from));
+        RepeatWindow {
+            requests: requests.max().unwrap_or_default(),
+            repeats: count(&self.repeats, start),
+        }
+    }
+}
+
+/// Requests and repeats of one service in a window.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display("{repeats} repeats of {requests} requests, {:.0} allowed", self.allowed())]
+pub struct RepeatWindow {
+    /// Requests that callers sent.
+    pub requests: usize,
+    /// Requests beyond the first of their attempt that upstreams received.
+    pub repeats: usize,
+}
+
+impl RepeatWindow {
+    fn allowed(&self) -> f64 {
+        RETRY_RATIO * self.requests as f64 + RETRY_SLACK
+    }
+
+    /// Repeats as a share of those allowed; more than 1 if the budget was exceeded.
+    pub fn used(&self) -> f64 {
+        self.repeats as f64 / self.allowed()
     }
 }
--- a/marigoldlock_fleet/src/soak/fault.rs
+++ b/marigoldlock_fleet/src/soak/fault.rs
@@ -17,6 +17,19 @@
 /// Upper limit of a fault's duration.
 const MAX_FAULT_DURATION: Duration = Duration::from_millis(4_500);
 
+/// Time from the start of the traffic to the first fault.
+const FIRST_FAULT_DELAY: Duration = Duration::from_millis(500);
+
+/// Faults that a plan draws from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FaultMix {
+    /// All faults.
+    #[default]
+    Any,
+    /// All upstreams lose their answers the whole time, and instances restart.
+    Retries,
+}
+
 /// A fault with its start and duration.
 #[derive(Clone, Debug)]
 pub struct PlannedFault {
@@ -61,6 +74,8 @@
     RunnerFull(usize),
     /// An upstream runs requests without answering them.
     RunnerLosesAnswers(usize),
+    /// All upstreams run requests without answering them.
+    AllLoseAnswers,
     /// An upstream sends answers that belong to other requests.
     RunnerCrossed(usize),
     /// An upstream's streams end early.
@@ -99,11 +114,27 @@
 
 impl FaultPlan {
     /// Draws random faults that start within `fault_period`.
-    pub fn draw(random: &mut StdRng, instances: usize, upstreams: usize, fault_period: Duration) -> Self {
+    pub fn draw(
+        random: &mut StdRng,
+        mix: FaultMix,
+        instances: usize,
+        upstreams: usize,
+        fault_period: Duration,
+    ) -> Self {
         let mut faults = Vec::new();
-        let mut at = Duration::from_millis(500);
+        let mut at = FIRST_FAULT_DELAY;
+        if mix == FaultMix::Retries {
+            faults.push(PlannedFault {
+                at,
+                duration: fault_period,
+                fault: Fault::AllLoseAnswers,
+            });
+        }
         while at < fault_period {
-            let fault = draw_fault(random, instances, upstreams);
+            let fault = match mix {
+                FaultMix::Any => draw_fault(random, instances, upstreams),
+                FaultMix::Retries => draw_restart(random, instances),
+            };
             let duration = MAX_FAULT_DURATION.mul_f64(random.random_range(0.1..1.0));
             faults.push(PlannedFault { at, duration, fault });
             // The intervals vary widely, so that faults occur alone, in quick succession and overlapping.
@@ -139,6 +170,14 @@
     }
 }
 
+fn draw_restart(random: &mut StdRng, instances: usize) -> Fault {
+    match random.random_range(0..4) {
+        0 => Fault::KillAll,
+        1 => Fault::Terminate(random.random_range(0..instances)),
+        _ => Fault::Kill(random.random_range(0..instances)),
+    }
+}
+
 fn draw_fault(random: &mut StdRng, instances: usize, upstreams: usize) -> Fault {
     let instance = random.random_range(0..instances);
     let upstream = random.random_range(0..upstreams);
@@ -148,7 +187,7 @@
         2 => LinkMode::OneWay,
         _ => LinkMode::Silent,
     };
-    match random.random_range(0..25) {
+    match random.random_range(0..26) {
         0..3 => Fault::Kill(instance),
         3..5 => Fault::Terminate(instance),
         5..7 => Fault::Pause(instance),
@@ -167,6 +206,7 @@
         21 => Fault::RunnerCrossed(upstream),
         22 => Fault::RunnerBreaks(upstream),
         23 => Fault::RunnerLimited(upstream),
+        24 => Fault::AllLoseAnswers,
         _ => match random.random_range(0..2) {
             0 => Fault::RunnerLeaves(upstream),
             _ => Fault::NewSettings,
@@ -227,6 +267,11 @@
             Fault::RunnerLosesAnswers(index) => {
                 self.upstreams[index].set_faults(|faults| faults.drops_answers = is_active);
             }
+            Fault::AllLoseAnswers => {
+                for upstream in &self.upstreams {
+                    upstream.set_faults(|faults| faults.drops_answers = is_active);
+                }
+            }
             Fault::RunnerCrossed(index) => {
                 self.upstreams[index].set_faults(|faults| faults.crosses_answers = is_active)
             }
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -30,13 +30,15 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-use budget::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use budget::{RETRY_SLACK, RETRY_WINDOW};
 use caller::CallerGroup;
 use fault::{FaultPlan, PlannedFault};
 use process::{InstanceProcess, loopback_address};
 use proxy::LinkProxy;
 
-pub use record::SoakReport;
+pub use budget::RETRY_RATIO;
+pub use fault::FaultMix;
+pub use record::{BUDGET_INVARIANT, SoakReport};
 
 /// Longest wait until all instances are ready at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
@@ -74,6 +76,10 @@
     pub fault_period: Duration,
     /// Number of callers.
     pub callers: usize,
+    /// Faults to draw from.
+    pub fault_mix: FaultMix,
+    /// Retries per request that the instances are told they may use. The check allows [`RETRY_RATIO`].
+    pub told_retry_ratio: f64,
     /// Folder for the instances' settings files and logs.
     pub folder: PathBuf,
 }
@@ -134,6 +140,7 @@
     let mut random = StdRng::seed_from_u64(options.seed);
     let plan = FaultPlan::draw(
         &mut random,
+        options.fault_mix,
         options.instances,
         UPSTREAMS.len(),
         options.fault_period,
@@ -183,7 +190,7 @@
             let ip = loopback_address(options.seed, number);
             let name = format!("n{number}");
             let mut file = instance_file_at(&name, ip, link.address(), duties.address());
-            file["Bounds"]["RetryRatio"] = RETRY_RATIO.into();
+            file["Bounds"]["RetryRatio"] = options.told_retry_ratio.into();
             file["Bounds"]["RetrySlack"] = RETRY_SLACK.into();
             file["Bounds"]["BudgetWindowS"] = RETRY_WINDOW.as_secs().into();
             let path = options.folder.join(format!("{name}.json"));
--- a/marigoldlock_fleet/src/soak/record.rs
+++ b/marigoldlock_fleet/src/soak/record.rs
@@ -5,11 +5,14 @@
 use marigoldlock_standin::site::{ArrivalRecord, RunRecord, SITE_BODY};
 use marigoldlock_wire::prelude::*;
 
-use super::budget::RepeatRecord;
+use super::budget::{RepeatRecord, RepeatWindow};
 use super::caller::{CallOutcome, CallRecord};
 use super::fault::PlannedFault;
 use super::{MIN_SERVED_SHARE, Violation};
 
+/// The invariant that the fleet keeps its retry budget.
+pub const BUDGET_INVARIANT: &str = "retries stay within the fleet's budget";
+
 /// What the stand-ins and the processes recorded.
 #[derive(Debug, Default)]
 pub struct SiteRecord {
@@ -57,6 +60,8 @@
     pub counts: [usize; 4],
     /// Share of the requests with a valid key that were answered after the recovery.
     pub served_at_end: f64,
+    /// Largest share of the retry budget that any service's upstreams saw used.
+    pub budget_used: f64,
     /// Number of usage windows reported.
     pub windows_reported: usize,
     /// Folder with the instances' logs.
@@ -90,6 +95,12 @@
                 count(|outcome| *outcome == CallOutcome::Unknown),
             ],
             served_at_end,
+            budget_used: site
+                .arrivals
+                .iter()
+                .filter_map(|(service, arrivals)| fullest_window(calls, service, arrivals))
+                .map(|window| window.used())
+                .fold(0.0, f64::max),
             windows_reported: site.windows_reported,
             schedule,
             logs,
@@ -97,6 +108,15 @@
     }
 }
 
+/// The window in which a service's upstreams got the most repeats compared to what is allowed.
+fn fullest_window(calls: &[CallRecord], service: &str, arrivals: &[ArrivalRecord]) -> Option<RepeatWindow> {
+    let mut record = RepeatRecord::default();
+    let own = calls.iter().filter(|call| call.service == service);
+    record.requests.extend(own.map(|call| call.sent_at.into_std()));
+    record.record_arrivals(arrivals.to_vec());
+    record.fullest_window()
+}
+
 fn find_violations(calls: &[CallRecord], site: &SiteRecord, served_at_end: f64) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut report = |invariant, observed: String| violations.push(Violation { invariant, observed });
@@ -124,15 +144,9 @@
         }
     }
     for (service, arrivals) in &site.arrivals {
-        let mut record = RepeatRecord::default();
-        let own = calls.iter().filter(|call| call.service == service);
-        record.requests.extend(own.map(|call| call.sent_at.into_std()));
-        record.record_arrivals(arrivals.clone());
-        if let Some(excess) = record.find_excess() {
-            report(
-                "retries stay within the fleet's budget",
-                format!("{service}: {excess}"),
-            );
+        let window = fullest_window(calls, service, arrivals);
+        if let Some(excess) = window.filter(|window| window.used() > 1.0) {
+            report(BUDGET_INVARIANT, format!("{service}: {excess}"));
         }
     }
     for run in &site.changed_runs {
@@ -168,10 +182,11 @@
         write!(
             out,
             "seed {}: {} faults, {sent} requests, {answered} answered, {not_run} not run, {unknown} unknown, {:.2} served at \
-             the end, {} usage windows",
+             the end, {:.2} of the retry budget used, {} usage windows",
             self.seed,
             self.schedule.len(),
             self.served_at_end,
+            self.budget_used,
             self.windows_reported,
         )?;
         let Some(first) = self.violations.first() else {
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -9,7 +9,7 @@
 
 use super::budget::RepeatRecord;
 use super::caller::{CallOutcome, CallRecord};
-use super::fault::FaultPlan;
+use super::fault::{FaultMix, FaultPlan};
 use super::record::{SiteRecord, SoakReport};
 
 fn call(attempt: &str, outcome: CallOutcome) -> CallRecord {
@@ -133,10 +133,11 @@
         record.requests = (0..requests)
             .map(|number| start + Duration::from_millis(number))
             .collect();
-        record.find_excess()
+        record.fullest_window().unwrap()
     };
-    assert_eq!(excess(10), None, "12 repeats, 10 + 10 / 5 allowed");
-    assert_eq!(excess(9).unwrap(), "12 repeats of 9 requests, 12 allowed");
+    assert_eq!(excess(10).used(), 1.0, "12 repeats, 10 + 10 / 5 allowed");
+    assert!(excess(9).used() > 1.0);
+    assert_eq!(excess(9).to_string(), "12 repeats of 9 requests, 12 allowed");
     let mut site = site(&[("b0", 1)]);
     site.arrivals.insert(
         "app".into(),
@@ -154,7 +155,7 @@
         let mut random = StdRng::seed_from_u64(seed);
         format!(
             "{:?}",
-            FaultPlan::draw(&mut random, 4, 7, Duration::from_secs(20)).steps()
+            FaultPlan::draw(&mut random, FaultMix::Any, 4, 7, Duration::from_secs(20)).steps()
         )
     };
     assert_eq!(plan(7), plan(7));
