Report crashes once around, and all of them only to instances that were silent

What callers would see: on small links of a large fleet, packets wait behind reports of crashes; changes of the listing arrive late. Cause: each instance told all others of every crash that it knew of, for 2 s and again each second. Change: an instance tells of what it saw itself, relays also of what they were told, for three rounds; everything known is told only after an instance was heard that had been silent, at most each 2 s; a report has at most 64 records.

--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable};
+use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, ReportScope};
 use marigoldlock_core::gateway::exchange::{FleetView, heartbeat_interval};
 use marigoldlock_core::gateway::members::{
     Heartbeat, MemberReport, ReportPath, StoreContact, UpstreamWork, age_ms,
@@ -34,8 +34,12 @@
 /// Number of past usage windows that a heartbeat reports in addition to the current one.
 const REPORTED_PAST_WINDOWS: u64 = 2;
 
-/// Time between two reports of all known crashes; those in between only contain the news.
-const COMPLETE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two reports of all known crashes, which are only sent after an instance was heard that was
+/// silent before.
+const COMPLETE_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Rounds in which a crash is news: a datagram may be lost.
+const NEWS_ROUNDS: u32 = 3;
 
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -50,12 +54,14 @@
 }
 
 async fn send_heartbeats(gateway: &Gateway, socket: &UdpSocket) {
-    let mut reported_all_at = None;
+    let mut reported_all_at = gateway.now();
     for round in 0.. {
         let now = gateway.now();
-        let is_complete = reported_all_at.is_none_or(|at| now.since(at) >= COMPLETE_REPORT_INTERVAL);
+        let heard_at = gateway.state().member_heard_at;
+        let is_complete =
+            heard_at >= Some(reported_all_at) && now.since(reported_all_at) >= COMPLETE_REPORT_INTERVAL;
         if is_complete {
-            reported_all_at = Some(now);
+            reported_all_at = now;
         }
         send_round(gateway, socket, round, is_complete).await;
         let now = gateway.now();
@@ -78,8 +84,7 @@
     let unix_ms = gateway.parts.clock.unix_ms();
     let card = &gateway.parts.card;
     gateway.change_crashes(CrashTable::update);
-    let crashes = gateway.state().crashes.report(now, is_complete);
-    let (targets, own, usage, for_local, for_remote) = {
+    let (targets, own, usage, for_local, for_remote, crashes) = {
         let mut state = gateway.state();
         state.reports_sent += 1;
         let own = own_report(gateway, &state, now);
@@ -95,7 +100,12 @@
         } else {
             Default::default()
         };
-        (targets, own, usage, for_local, for_remote)
+        let scope = ReportScope {
+            is_own_only: !targets.is_relay,
+            news_time: (!is_complete).then(|| heartbeat_interval(state.instances()) * NEWS_ROUNDS),
+        };
+        let crashes = state.crashes.report(scope, now);
+        (targets, own, usage, for_local, for_remote, crashes)
     };
     let seeds = gateway.parts.seeds.iter().copied();
     let remote = targets.remote.iter().copied().chain(seeds);
@@ -280,6 +290,7 @@
 fn record_report(state: &mut GatewayState, report: MemberReport, path: ReportPath, now: MonoTime) {
     let (id, stage, incarnation) = (report.card.id.clone(), report.stage, report.card.incarnation);
     if state.members.record_report(report, path, now) {
+        state.member_heard_at = Some(now);
         log::info!(peer:% = id, stage:? = stage, incarnation:% = incarnation, path:? = path; "instance is live");
     }
 }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -58,6 +58,8 @@
     pub broken_attempts: FastMap<UpstreamId, Vec<BrokenAttempt>>,
     /// Other instances.
     pub members: MemberTable,
+    /// When an instance was last heard that was silent before.
+    pub member_heard_at: Option<MonoTime>,
     /// True once the list of members has been read from the store.
     pub has_member_list: bool,
     /// What is known of retries before this instance started.
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use marigoldlock_core::gateway::blame::{CrashRecord, SuspectKey};
-use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, FleetTime};
+use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, FleetTime, ReportScope};
 use marigoldlock_core::gateway::members::{Heartbeat, MemberCard, MemberReport, MemberStage};
 use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::gateway::usage::WindowCounts;
@@ -134,7 +134,11 @@
         };
         table.record_crash(record, time);
     }
-    table.report(time.now, true)
+    let scope = ReportScope {
+        is_own_only: false,
+        news_time: None,
+    };
+    table.report(scope, time.now)
 }
 
 #[test]
--- a/marigoldlock_core/src/gateway/crashes.rs
+++ b/marigoldlock_core/src/gateway/crashes.rs
@@ -27,15 +27,15 @@
 /// runs at other upstreams have completed.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which what an instance has learned is part of each of its reports. Later it is only part of complete ones.
-const NEWS_TIME: Duration = Duration::from_secs(2);
-
 /// Largest number of crash records.
 const MAX_RECORDS: usize = 128;
 
 /// Largest number of suspects of a record; more are left out, so that a report fits into a datagram.
 const MAX_SUSPECTS: usize = 16;
 
+/// Largest number of records in a report.
+const MAX_REPORTED_RECORDS: usize = 64;
+
 /// Largest number of completion times of suspects.
 const MAX_COMPLETIONS: usize = 512;
 
@@ -77,6 +77,32 @@
     pub blocks: Vec<CrashBlock>,
 }
 
+/// What a report contains. Each instance tells the others of what it saw itself, and relays also of what they were told,
+/// so that what is seen is sent to each instance a few times and not by each of the others.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportScope {
+    /// True if only what this instance saw itself is told.
+    pub is_own_only: bool,
+    /// Only what was learned within this time is told; `None` for everything.
+    pub news_time: Option<Duration>,
+}
+
+/// When an item was learned, and from whom.
+#[derive(Clone, Copy, Debug)]
+struct ItemSource {
+    learned_at: MonoTime,
+    is_own: bool,
+}
+
+impl ItemSource {
+    fn is_told(&self, scope: ReportScope, now: MonoTime) -> bool {
+        let is_news = scope
+            .news_time
+            .is_none_or(|time| now.since(self.learned_at) < time);
+        is_news && (self.is_own || !scope.is_own_only)
+    }
+}
+
 /// Current time on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetTime {
@@ -110,17 +136,16 @@
     blocks: Vec<CrashBlock>,
     causes: Vec<OpenCause>,
     recent_runs: RunMemory,
-    /// When each item was learned, by its hash.
-    records_learned: FastMap<(u64, u64), MonoTime>,
-    completions_learned: FastMap<SuspectKey, MonoTime>,
-    blocks_learned: FastMap<Vec<SuspectKey>, MonoTime>,
+    record_sources: FastMap<(u64, u64), ItemSource>,
+    completion_sources: FastMap<SuspectKey, ItemSource>,
+    block_sources: FastMap<Vec<SuspectKey>, ItemSource>,
     changes: Vec<BlockChange>,
 }
 
 impl CrashTable {
     /// Records a request whose upstream crashed.
     pub fn record_crash(&mut self, record: CrashRecord, time: FleetTime) {
-        if self.add_record(record, time) {
+        if self.add_record(record, time, true) {
             self.update(time);
         }
     }
@@ -131,7 +156,7 @@
         for &key in keys {
             self.recent_runs.record(key, time.fleet_ms);
             is_news |= self.is_suspected_since(key, self.completed_ms(key))
-                && self.add_completion(key, time.fleet_ms, time);
+                && self.add_completion(key, time.fleet_ms, time, true);
         }
         if is_news {
             self.update(time);
@@ -142,10 +167,10 @@
     pub fn merge(&mut self, report: CrashReport, time: FleetTime) {
         let mut is_news = false;
         for record in report.records {
-            is_news |= self.add_record(record, time);
+            is_news |= self.add_record(record, time, false);
         }
         for (key, completed_ms) in report.completions {
-            is_news |= self.add_completion(key, completed_ms, time);
+            is_news |= self.add_completion(key, completed_ms, time, false);
         }
         for block in report.blocks {
             is_news |= self.add_block(block, time);
@@ -173,7 +198,11 @@
                 self.blocks.push(block.clone());
             }
         }
-        self.blocks_learned.insert(block.suspects, time.now);
+        let source = ItemSource {
+            learned_at: time.now,
+            is_own: false,
+        };
+        self.block_sources.insert(block.suspects, source);
         true
     }
 
@@ -212,7 +241,11 @@
             .map(|cause| cause.suspects.clone())
             .collect();
         for suspects in stable {
-            self.blocks_learned.insert(suspects.clone(), time.now);
+            let source = ItemSource {
+                learned_at: time.now,
+                is_own: true,
+            };
+            self.block_sources.insert(suspects.clone(), source);
             self.blocks.push(CrashBlock {
                 suspects,
                 blocked_ms: time.fleet_ms,
@@ -241,24 +274,24 @@
         &self.blocks
     }
 
-    /// What to tell others: the news, or everything.
-    pub fn report(&self, now: MonoTime, is_complete: bool) -> CrashReport {
-        let is_told =
-            |learned: Option<&MonoTime>| is_complete || learned.is_some_and(|&at| now.since(at) < NEWS_TIME);
-        let records = self.records.iter();
+    /// What to tell others.
+    pub fn report(&self, scope: ReportScope, now: MonoTime) -> CrashReport {
+        let is_told = |source: Option<&ItemSource>| source.is_some_and(|source| source.is_told(scope, now));
+        let newest = self.records.iter().rev();
         let completions = self.completions.iter();
         let blocks = self.blocks.iter();
         CrashReport {
-            records: records
-                .filter(|record| is_told(self.records_learned.get(&record_id(record))))
+            records: newest
+                .filter(|record| is_told(self.record_sources.get(&record_id(record))))
+                .take(MAX_REPORTED_RECORDS)
                 .cloned()
                 .collect(),
             completions: completions
-                .filter(|(key, _)| is_told(self.completions_learned.get(key)))
+                .filter(|(key, _)| is_told(self.completion_sources.get(key)))
                 .map(|(&key, &at)| (key, at))
                 .collect(),
             blocks: blocks
-                .filter(|block| is_told(self.blocks_learned.get(&block.suspects)))
+                .filter(|block| is_told(self.block_sources.get(&block.suspects)))
                 .cloned()
                 .collect(),
         }
@@ -273,7 +306,7 @@
         self.records.is_empty()
             && self.blocks.is_empty()
             && self.causes.is_empty()
-            && self.records_learned.is_empty()
+            && self.record_sources.is_empty()
     }
 
     fn is_blocked(&self, keys: &[SuspectKey], fleet_ms: u64) -> bool {
@@ -312,20 +345,24 @@
             || blocks.any(|block| is_later(block.blocked_ms) && block.suspects.contains(&key))
     }
 
-    fn add_record(&mut self, mut record: CrashRecord, time: FleetTime) -> bool {
+    fn add_record(&mut self, mut record: CrashRecord, time: FleetTime, is_own: bool) -> bool {
         record.suspects.truncate(MAX_SUSPECTS);
         let id = record_id(&record);
         let is_old = record.crashed_ms + as_ms(RECORD_LIFETIME) < time.fleet_ms;
-        if record.suspects.is_empty() || is_old || self.records_learned.contains_key(&id) {
+        if record.suspects.is_empty() || is_old || self.record_sources.contains_key(&id) {
             return false;
         }
         for &key in &record.suspects {
             if let Some(completed_ms) = self.recent_runs.completed_ms(key) {
-                self.add_completion(key, completed_ms, time);
+                self.add_completion(key, completed_ms, time, true);
             }
         }
         self.renew_blocks(&record, time);
-        self.records_learned.insert(id, time.now);
+        let source = ItemSource {
+            learned_at: time.now,
+            is_own,
+        };
+        self.record_sources.insert(id, source);
         self.records.push(record);
         true
     }
@@ -348,12 +385,16 @@
         }
     }
 
-    fn add_completion(&mut self, key: SuspectKey, completed_ms: u64, time: FleetTime) -> bool {
+    fn add_completion(&mut self, key: SuspectKey, completed_ms: u64, time: FleetTime, is_own: bool) -> bool {
         if self.completed_ms(key).is_some_and(|known| known >= completed_ms) {
             return false;
         }
         self.completions.insert(key, completed_ms);
-        self.completions_learned.insert(key, time.now);
+        let source = ItemSource {
+            learned_at: time.now,
+            is_own,
+        };
+        self.completion_sources.insert(key, source);
         true
     }
 
@@ -391,13 +432,13 @@
             self.completions.remove(&oldest);
         }
         // A dropped record must not be learned again from an instance that still has it.
-        self.records_learned
-            .retain(|_, at| time.now.since(*at) < RECORD_LIFETIME);
+        self.record_sources
+            .retain(|_, source| time.now.since(source.learned_at) < RECORD_LIFETIME);
         let completions = &self.completions;
-        self.completions_learned
+        self.completion_sources
             .retain(|key, _| completions.contains_key(key));
         let blocks = &self.blocks;
-        self.blocks_learned
+        self.block_sources
             .retain(|suspects, _| blocks.iter().any(|block| block.suspects == *suspects));
     }
 }
--- a/marigoldlock_core/src/gateway/tests/crashes.rs
+++ b/marigoldlock_core/src/gateway/tests/crashes.rs
@@ -1,13 +1,23 @@
 //! Tests of the blame for crashes of upstreams, and of the blocks that follow.
 
 use super::super::blame::{CrashRecord, SuspectKey};
-use super::super::crashes::{BlockChange, CrashBlock, CrashTable, FleetTime};
+use super::super::crashes::{BlockChange, CrashBlock, CrashTable, FleetTime, ReportScope};
 use super::super::state::UpstreamKey;
 use super::*;
 
 const POISON: SuspectKey = SuspectKey::PromptPart(666);
 const POISON_REQUEST: SuspectKey = SuspectKey::Request(u64::MAX);
 
+/// Reports of relays; in these tests, all instances are.
+const EVERYTHING: ReportScope = ReportScope {
+    is_own_only: false,
+    news_time: None,
+};
+const NEWS: ReportScope = ReportScope {
+    is_own_only: false,
+    news_time: Some(Duration::from_millis(600)),
+};
+
 fn part(id: u64) -> SuspectKey {
     SuspectKey::PromptPart(id)
 }
@@ -179,15 +189,34 @@
     table.update(time(3_000));
     assert_eq!(table.blocks().len(), 1);
     let mut other = CrashTable::default();
-    other.merge(table.report(at(3_000), false), time(3_100));
+    other.merge(table.report(NEWS, at(3_000)), time(3_100));
     assert!(is_blocked(&other, &[part(4), POISON], 3_200));
     // What is no longer news is part of complete reports.
-    assert_eq!(table.report(at(6_000), false), Default::default());
+    assert_eq!(table.report(NEWS, at(6_000)), Default::default());
     let mut late = CrashTable::default();
-    late.merge(table.report(at(6_000), true), time(6_100));
+    late.merge(table.report(EVERYTHING, at(6_000)), time(6_100));
     assert!(is_blocked(&late, &[part(4), POISON], 6_200));
 }
 
+/// Guards against heartbeats that fill the links of small instances: each told all others of everything.
+#[test]
+fn what_others_told_is_passed_on_by_relays_only() {
+    let (mut own, mut other) = (CrashTable::default(), CrashTable::default());
+    crash_in_turn(&mut own, 0, &[&[part(1)]]);
+    for number in 1..200 {
+        crash_in_turn(&mut other, number, &[&[part(number)]]);
+    }
+    let told = other.report(NEWS, at(300));
+    assert_eq!(told.records.len(), 64, "a report is bounded");
+    own.merge(told, time(300));
+    let own_only = ReportScope {
+        is_own_only: true,
+        ..EVERYTHING
+    };
+    assert_eq!(own.report(own_only, at(400)).records.len(), 1);
+    assert!(own.report(NEWS, at(400)).records.len() > 60);
+}
+
 #[test]
 fn crashes_at_different_instances_add_up() {
     let mut tables = vec![CrashTable::default(); 3];
@@ -196,7 +225,7 @@
     }
     let reports: Vec<_> = tables
         .iter()
-        .map(|table| table.report(at(1_000), false))
+        .map(|table| table.report(EVERYTHING, at(1_000)))
         .collect();
     for table in &mut tables {
         for report in &reports {
@@ -211,8 +240,8 @@
     let (mut table, mut other) = (CrashTable::default(), CrashTable::default());
     other.record_completion(&[part(1)], time(0));
     crash_in_turn(&mut table, 1_000, &[&[part(1), POISON][..]; 2]);
-    other.merge(table.report(at(1_400), false), time(1_400));
-    table.merge(other.report(at(1_450), false), time(1_450));
+    other.merge(table.report(NEWS, at(1_400)), time(1_400));
+    table.merge(other.report(NEWS, at(1_450)), time(1_450));
     crash_in_turn(&mut table, 1_500, &[&[part(1), POISON]]);
     assert!(
         is_blocked(&table, &[part(2), POISON], 2_000),
@@ -263,7 +292,7 @@
     table.update(time(5_000));
     table.update(time(1_300_000));
     assert!(table.blocks().is_empty());
-    assert_eq!(table.report(at(1_300_000), true), Default::default());
+    assert_eq!(table.report(EVERYTHING, at(1_300_000)), Default::default());
 }
 
 /// A run at an upstream.
@@ -431,7 +460,7 @@
         let reports: Vec<_> = self
             .tables
             .iter()
-            .map(|table| table.report(at(ms), is_complete))
+            .map(|table| table.report(if is_complete { EVERYTHING } else { NEWS }, at(ms)))
             .collect();
         for table in &mut self.tables {
             for report in &reports {
