Send requests with a prompt part that crashes engines in the soak

Change: engines crash under one prompt part for the whole run; one more caller sends requests with it. After the recovery, no more than three may reach an upstream if five crashes came before. The proxies in front of upstreams refuse connections while those are down, as an upstream itself does; before, they accepted and reset them. Ruled out: upstreams without a proxy; faults of the link and of the upstream would no longer overlap.

--- a/marigoldlock_fleet/src/soak/caller.rs
+++ b/marigoldlock_fleet/src/soak/caller.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use super::crashing::CRASHING_PART;
 use super::{SoakOptions, SoakSite};
 
 /// Longest wait for an answer, above the deadline that the requests carry.
@@ -53,6 +54,8 @@
     pub is_booking: bool,
     /// True if the request was sent with `UNKNOWN_KEY`.
     pub has_unknown_key: bool,
+    /// True if the request crashes upstreams.
+    pub crashes_upstreams: bool,
     /// True if the request was sent after the fleet's time for recovery.
     pub is_after_recovery: bool,
     /// Outcome for the caller.
@@ -77,8 +80,10 @@
         let mut tasks = JoinSet::new();
         let (is_after_recovery, is_stopped) =
             (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-        for number in 0..options.callers {
+        // One more caller sends the requests that crash upstreams.
+        for number in 0..=options.callers {
             let caller = Caller {
+                crashes_upstreams: number == options.callers,
                 random: StdRng::seed_from_u64(options.seed ^ (number as u64 + 1) << 32),
                 number,
                 directories: directories.clone(),
@@ -116,6 +121,7 @@
 }
 
 struct Caller {
+    crashes_upstreams: bool,
     random: StdRng,
     number: usize,
     directories: Vec<SocketAddr>,
@@ -137,19 +143,29 @@
         };
         while !self.is_stopped.load(Ordering::Relaxed) {
             self.resolve(&caller).await;
-            let pause = Duration::from_millis(self.random.random_range(5..60));
+            let pauses = if self.crashes_upstreams { 100..500 } else { 5..60 };
+            let pause = Duration::from_millis(self.random.random_range(pauses));
             tokio::time::sleep(pause).await;
             let Some(&front) = choose(&mut self.random, &self.addresses) else {
                 continue;
             };
             let attempt = format!("c{}-{}", self.number, records.len());
-            let has_unknown_key = self.random.random_bool(0.03);
-            let (path, service) =
-                [("/draft/x", "llm"), ("/look/x", "app"), ("/book/x", "app")][self.random.random_range(0..3)];
+            let has_unknown_key = !self.crashes_upstreams && self.random.random_bool(0.03);
+            let paths = [("/draft/x", "llm"), ("/look/x", "app"), ("/book/x", "app")];
+            let (path, service) = if self.crashes_upstreams {
+                paths[0]
+            } else {
+                paths[self.random.random_range(0..3)]
+            };
             let key = if has_unknown_key { UNKNOWN_KEY } else { SITE_KEY };
             let is_after_recovery = self.is_after_recovery.load(Ordering::Relaxed);
+            let crashing = if self.crashes_upstreams {
+                format!("{CRASHING_PART}:100,")
+            } else {
+                String::new()
+            };
             let parts = format!(
-                "{:x}:4000,{:x}:1000",
+                "{:x}:4000,{crashing}{:x}:1000",
                 self.random.random_range(1..40),
                 records.len()
             );
@@ -165,6 +181,7 @@
                 sent_at,
                 is_booking: path.starts_with("/book"),
                 has_unknown_key,
+                crashes_upstreams: self.crashes_upstreams,
                 is_after_recovery,
                 outcome,
             });
--- a/marigoldlock_fleet/src/soak/fault.rs
+++ b/marigoldlock_fleet/src/soak/fault.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 
 use super::SoakSite;
+use super::crashing;
 use super::proxy::LinkMode;
 
 /// Approximate mean time between the starts of two faults.
@@ -321,6 +322,7 @@
         }
         for index in 0..self.upstreams.len() {
             self.upstreams[index].set_faults(|faults| *faults = Default::default());
+            crashing::arm(&self.upstreams[index]);
             self.publish_upstream_entry(index, false);
         }
         Ok(())
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -10,6 +10,7 @@
 
 mod budget;
 mod caller;
+mod crashing;
 mod fault;
 mod process;
 mod proxy;
@@ -37,6 +38,7 @@
 use proxy::LinkProxy;
 
 pub use budget::RETRY_RATIO;
+pub use crashing::CrashCounts;
 pub use fault::FaultMix;
 pub use record::{BUDGET_INVARIANT, SoakReport};
 
@@ -123,10 +125,11 @@
     let started = Instant::now();
     let result = inject_faults(options, &mut site, started).await;
     callers.mark_recovered();
+    let recovered_at = std::time::Instant::now();
     tokio::time::sleep(MEASUREMENT_TIME).await;
     let calls = callers.close().await;
     let logs = options.folder.display().to_string();
-    let record = site.close().await;
+    let record = site.close(recovered_at).await;
     let schedule = result?;
     Ok(SoakReport::new(options.seed, schedule, &calls, record, logs))
 }
@@ -176,6 +179,7 @@
                 stage,
             })
             .await?;
+            crashing::arm(&upstream);
             let link = LinkProxy::start(upstream.address()).await?;
             let mut entry = upstream.entry("ready");
             entry["Address"] = link.address().to_string().into();
@@ -234,13 +238,14 @@
     }
 
     /// Shuts all processes down and returns what the stand-ins and the processes recorded.
-    async fn close(self) -> record::SiteRecord {
+    async fn close(self, recovered_at: std::time::Instant) -> record::SiteRecord {
         let mut record = record::SiteRecord {
             usage_conflicts: self.duties.conflicts(),
             windows_reported: self.duties.usage().len(),
             ..record::SiteRecord::default()
         };
         for upstream in &self.upstreams {
+            record.crashing.add(upstream, recovered_at);
             for run in upstream.runs() {
                 record.record_run(&run);
             }
--- a/marigoldlock_fleet/src/soak/proxy.rs
+++ b/marigoldlock_fleet/src/soak/proxy.rs
@@ -1,4 +1,6 @@
 //! A TCP proxy on loopback that injects faults into its connections.
+//!
+//! While its target is down, the proxy refuses connections, as the target itself does.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,9 +9,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
+/// Time between two attempts to accept connections again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What the proxy does with connections and their bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LinkMode {
@@ -44,19 +49,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(LinkMode::Open);
-        let accept_task = tokio::spawn(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        tokio::spawn(relay(stream, target, modes.clone()));
-                    }
-                    Err(err) => {
-                        log::warn!(error:% = err; "the proxy failed to accept a connection; retrying");
-                        tokio::time::sleep(Duration::from_millis(50)).await;
-                    }
-                }
-            }
-        });
+        let accept_task = tokio::spawn(accept(listener, target, modes));
         Ok(Self {
             address,
             mode,
@@ -81,12 +74,96 @@
     }
 }
 
-async fn relay(client: TcpStream, target: SocketAddr, mut modes: watch::Receiver<LinkMode>) {
+/// Accepts connections while the target does.
+async fn accept(mut listener: TcpListener, target: SocketAddr, modes: watch::Receiver<LinkMode>) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let (reports, mut outages) = mpsc::unbounded_channel::<OutageReport>();
+    let link = RelayLink {
+        target,
+        modes,
+        reports,
+    };
+    loop {
+        tokio::select! {
+            Some(outage) = outages.recv() => {
+                drop(listener);
+                outage.confirm();
+                listener = wait_for_target(address, target, &mut outages).await;
+            }
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(relay(stream, link.clone()));
+                }
+                Err(err) => {
+                    log::warn!(error:% = err; "the proxy failed to accept a connection; retrying");
+                    tokio::time::sleep(RETRY_INTERVAL).await;
+                }
+            },
+        }
+    }
+}
+
+/// Waits until the target accepts connections, and listens again.
+async fn wait_for_target(
+    address: SocketAddr,
+    target: SocketAddr,
+    outages: &mut mpsc::UnboundedReceiver<OutageReport>,
+) -> TcpListener {
+    loop {
+        while let Ok(outage) = outages.try_recv() {
+            outage.confirm();
+        }
+        if TcpStream::connect(target).await.is_ok()
+            && let Ok(listener) = TcpListener::bind(address).await
+        {
+            return listener;
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Tells that the target is down. The sender keeps its connection until the proxy refuses new ones.
+struct OutageReport(oneshot::Sender<()>);
+
+impl OutageReport {
+    fn confirm(self) {
+        if self.0.send(()).is_err() {
+            log::debug!("a connection ended before its outage was confirmed");
+        }
+    }
+}
+
+/// Where a connection is relayed to.
+#[derive(Clone)]
+struct RelayLink {
+    target: SocketAddr,
+    modes: watch::Receiver<LinkMode>,
+    reports: mpsc::UnboundedSender<OutageReport>,
+}
+
+impl RelayLink {
+    /// Waits until the proxy refuses connections, if the target does.
+    async fn report_outage(&self) {
+        if TcpStream::connect(self.target).await.is_ok() {
+            return;
+        }
+        let (confirm, confirmed) = oneshot::channel();
+        if self.reports.send(OutageReport(confirm)).is_ok() && confirmed.await.is_err() {
+            log::debug!("the proxy ended before it refused connections");
+        }
+    }
+}
+
+async fn relay(client: TcpStream, link: RelayLink) {
+    let mut modes = link.modes.clone();
     if *modes.borrow() == LinkMode::Reset {
         reset(&client);
         return;
     }
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(server) = TcpStream::connect(link.target).await else {
+        link.report_outage().await;
         reset(&client);
         return;
     };
@@ -101,12 +178,16 @@
     };
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let requests = copy(from_client, to_server, modes.clone(), |mode| {
+    let requests = copy(from_client, to_server, modes.clone(), async {}, |mode| {
         mode == LinkMode::Silent
     });
-    let answers = copy(from_server, to_client, modes.clone(), |mode| {
-        matches!(mode, LinkMode::Silent | LinkMode::OneWay)
-    });
+    let answers = copy(
+        from_server,
+        to_client,
+        modes.clone(),
+        link.report_outage(),
+        |mode| matches!(mode, LinkMode::Silent | LinkMode::OneWay),
+    );
     let reset_requested = async {
         // An error means that the proxy was dropped, which ends the connection as well.
         modes.wait_for(|mode| *mode == LinkMode::Reset).await.is_ok()
@@ -128,16 +209,18 @@
 }
 
 /// Copies bytes in one direction until either end closes; holds them back while `is_held` is true for the
-/// mode.
+/// mode. `before_end` is awaited before the receiver sees that the sender has closed.
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut modes: watch::Receiver<LinkMode>,
+    before_end: impl Future<Output = ()>,
     is_held: impl Fn(LinkMode) -> bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
     loop {
         let Ok(length) = from.read(&mut buffer).await else {
+            before_end.await;
             return;
         };
         if modes.wait_for(|mode| !is_held(*mode)).await.is_err() {
@@ -148,6 +231,7 @@
             tokio::time::sleep(delay).await;
         }
         if length == 0 {
+            before_end.await;
             // The other direction may still be in use; an error means that it is closed too.
             to.shutdown().await.ok();
             return;
--- a/marigoldlock_fleet/src/soak/record.rs
+++ b/marigoldlock_fleet/src/soak/record.rs
@@ -7,6 +7,7 @@
 
 use super::budget::{RepeatRecord, RepeatWindow};
 use super::caller::{CallOutcome, CallRecord};
+use super::crashing::CrashCounts;
 use super::fault::PlannedFault;
 use super::{MIN_SERVED_SHARE, Violation};
 
@@ -20,6 +21,8 @@
     pub runs: FastMap<String, u32>,
     /// Requests that arrived at the upstreams of each service.
     pub arrivals: FastMap<String, Vec<ArrivalRecord>>,
+    /// Crashes of upstreams, and requests that crash them.
+    pub crashing: CrashCounts,
     /// Runs whose request differed from what the caller sent.
     pub changed_runs: Vec<String>,
     /// Usage windows that were reported again with different counts.
@@ -60,6 +63,8 @@
     pub counts: [usize; 4],
     /// Share of the requests with a valid key that were answered after the recovery.
     pub served_at_end: f64,
+    /// Crashes of upstreams, and requests that crash them.
+    pub crashing: CrashCounts,
     /// Largest share of the retry budget that any service's upstreams saw used.
     pub budget_used: f64,
     /// Number of usage windows reported.
@@ -79,7 +84,7 @@
         let count = |is: fn(&CallOutcome) -> bool| calls.iter().filter(|call| is(&call.outcome)).count();
         let after_recovery: Vec<&CallRecord> = calls
             .iter()
-            .filter(|call| call.is_after_recovery && !call.has_unknown_key)
+            .filter(|call| call.is_after_recovery && !call.has_unknown_key && !call.crashes_upstreams)
             .collect();
         let served = after_recovery
             .iter()
@@ -95,6 +100,7 @@
                 count(|outcome| *outcome == CallOutcome::Unknown),
             ],
             served_at_end,
+            crashing: site.crashing,
             budget_used: site
                 .arrivals
                 .iter()
@@ -149,6 +155,12 @@
             report(BUDGET_INVARIANT, format!("{service}: {excess}"));
         }
     }
+    if site.crashing.is_excess() {
+        report(
+            "requests that crash upstreams are no longer sent",
+            format!("{:?}", site.crashing),
+        );
+    }
     for run in &site.changed_runs {
         report(
             "an upstream gets the unchanged request with its customer and without its key",
@@ -182,11 +194,13 @@
         write!(
             out,
             "seed {}: {} faults, {sent} requests, {answered} answered, {not_run} not run, {unknown} unknown, {:.2} served at \
-             the end, {:.2} of the retry budget used, {} usage windows",
+             the end, {:.2} of the retry budget used, {} crashes and then {} requests that crash, {} usage windows",
             self.seed,
             self.schedule.len(),
             self.served_at_end,
             self.budget_used,
+            self.crashing.crashes,
+            self.crashing.arrivals,
             self.windows_reported,
         )?;
         let Some(first) = self.violations.first() else {
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -9,6 +9,7 @@
 
 use super::budget::RepeatRecord;
 use super::caller::{CallOutcome, CallRecord};
+use super::crashing::CrashCounts;
 use super::fault::{FaultMix, FaultPlan};
 use super::record::{SiteRecord, SoakReport};
 
@@ -19,6 +20,7 @@
         sent_at: Instant::now(),
         is_booking: true,
         has_unknown_key: false,
+        crashes_upstreams: false,
         is_after_recovery: true,
         outcome,
     }
@@ -107,6 +109,14 @@
         ..correct()
     };
     assert_eq!(violation_count(&answered, ended), 1);
+    let crashing = SiteRecord {
+        crashing: CrashCounts {
+            crashes: 5,
+            arrivals: 4,
+        },
+        ..correct()
+    };
+    assert_eq!(violation_count(&answered, crashing), 1);
     let unserved: Vec<CallRecord> = (0..8).map(|_| call("b9", CallOutcome::Unknown)).collect();
     assert_eq!(
         violation_count(&unserved, site(&[])),
