Send a request that crashes upstreams again and again in the soak

Change: upstreams of the plain service crash under one path for the whole run; the caller of such requests sends both kinds. The check counts each service by itself.

--- a/marigoldlock_fleet/src/soak/caller.rs
+++ b/marigoldlock_fleet/src/soak/caller.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::crashing::CRASHING_PART;
+use super::crashing::{CRASHING_PART, CRASHING_PATH};
 use super::{SoakOptions, SoakSite};
 
 /// Longest wait for an answer, above the deadline that the requests carry.
@@ -152,23 +152,20 @@
             let attempt = format!("c{}-{}", self.number, records.len());
             let has_unknown_key = !self.crashes_upstreams && self.random.random_bool(0.03);
             let paths = [("/draft/x", "llm"), ("/look/x", "app"), ("/book/x", "app")];
+            let crashing_paths = [paths[0], (CRASHING_PATH, "app")];
             let (path, service) = if self.crashes_upstreams {
-                paths[0]
+                crashing_paths[self.random.random_range(0..2)]
             } else {
                 paths[self.random.random_range(0..3)]
             };
             let key = if has_unknown_key { UNKNOWN_KEY } else { SITE_KEY };
             let is_after_recovery = self.is_after_recovery.load(Ordering::Relaxed);
-            let crashing = if self.crashes_upstreams {
-                format!("{CRASHING_PART}:100,")
-            } else {
-                String::new()
+            let (shared, own) = (self.random.random_range(1..40), records.len());
+            let parts = match path {
+                CRASHING_PATH => "1:5000".to_owned(),
+                _ if self.crashes_upstreams => format!("{shared:x}:4000,{CRASHING_PART}:100,{own:x}:1000"),
+                _ => format!("{shared:x}:4000,{own:x}:1000"),
             };
-            let parts = format!(
-                "{:x}:4000,{crashing}{:x}:1000",
-                self.random.random_range(1..40),
-                records.len()
-            );
             let sent_at = Instant::now();
             let answer = caller.send_prompt(front, path, &attempt, key, &parts);
             let outcome = match tokio::time::timeout(ANSWER_TIMEOUT, read_outcome(answer, path)).await {
--- a/marigoldlock_fleet/src/soak/crashing.rs
+++ b/marigoldlock_fleet/src/soak/crashing.rs
@@ -7,6 +7,9 @@
 /// Prompt part that crashes engines.
 pub const CRASHING_PART: &str = "bad";
 
+/// Path of the request that crashes upstreams of the plain service.
+pub const CRASHING_PATH: &str = "/look/crash";
+
 /// Time for which an upstream is down after a crash.
 const DOWNTIME: Duration = Duration::from_millis(700);
 
@@ -20,12 +23,16 @@
 pub fn arm(upstream: &UpstreamStandin) {
     upstream.set_faults(|faults| {
         faults.crashing_part = Some(CRASHING_PART.into());
+        faults.crashing_path = Some(CRASHING_PATH.into());
         faults.downtime = DOWNTIME;
     });
 }
 
 /// True if the request is one that crashes upstreams.
 fn is_crashing(arrival: &ArrivalRecord) -> bool {
+    if arrival.path == CRASHING_PATH {
+        return true;
+    }
     let mut ids = arrival
         .prompt_parts
         .split(',')
@@ -33,7 +40,7 @@
     ids.any(|(id, _)| id == CRASHING_PART)
 }
 
-/// Crashes of upstreams before the recovery, and requests that crash them after it.
+/// Crashes of one service's upstreams before the recovery, and requests that crash them after it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct CrashCounts {
     /// Crashes before the recovery.
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -245,7 +245,8 @@
             ..record::SiteRecord::default()
         };
         for upstream in &self.upstreams {
-            record.crashing.add(upstream, recovered_at);
+            let crashing = record.crashing.entry(upstream.service().to_owned()).or_default();
+            crashing.add(upstream, recovered_at);
             for run in upstream.runs() {
                 record.record_run(&run);
             }
--- a/marigoldlock_fleet/src/soak/record.rs
+++ b/marigoldlock_fleet/src/soak/record.rs
@@ -21,8 +21,8 @@
     pub runs: FastMap<String, u32>,
     /// Requests that arrived at the upstreams of each service.
     pub arrivals: FastMap<String, Vec<ArrivalRecord>>,
-    /// Crashes of upstreams, and requests that crash them.
-    pub crashing: CrashCounts,
+    /// Crashes of each service's upstreams, and requests that crash them.
+    pub crashing: FastMap<String, CrashCounts>,
     /// Runs whose request differed from what the caller sent.
     pub changed_runs: Vec<String>,
     /// Usage windows that were reported again with different counts.
@@ -100,7 +100,10 @@
                 count(|outcome| *outcome == CallOutcome::Unknown),
             ],
             served_at_end,
-            crashing: site.crashing,
+            crashing: CrashCounts {
+                crashes: site.crashing.values().map(|counts| counts.crashes).sum(),
+                arrivals: site.crashing.values().map(|counts| counts.arrivals).sum(),
+            },
             budget_used: site
                 .arrivals
                 .iter()
@@ -155,11 +158,13 @@
             report(BUDGET_INVARIANT, format!("{service}: {excess}"));
         }
     }
-    if site.crashing.is_excess() {
-        report(
-            "requests that crash upstreams are no longer sent",
-            format!("{:?}", site.crashing),
-        );
+    for (service, counts) in &site.crashing {
+        if counts.is_excess() {
+            report(
+                "requests that crash upstreams are no longer sent",
+                format!("{service}: {counts:?}"),
+            );
+        }
     }
     for run in &site.changed_runs {
         report(
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -109,11 +109,12 @@
         ..correct()
     };
     assert_eq!(violation_count(&answered, ended), 1);
+    let counts = CrashCounts {
+        crashes: 5,
+        arrivals: 4,
+    };
     let crashing = SiteRecord {
-        crashing: CrashCounts {
-            crashes: 5,
-            arrivals: 4,
-        },
+        crashing: [("app".to_owned(), counts)].into_iter().collect(),
         ..correct()
     };
     assert_eq!(violation_count(&answered, crashing), 1);
