--- a/marigoldlock_core/benches/decisions.rs
+++ b/marigoldlock_core/benches/decisions.rs
@@ -1,4 +1,4 @@
-//! Time of one routing, admission and placement decision, at the current and the target fleet size.
+//! Time of one routing, admission and placement decision and of the blame for crashes, at the current and the target fleet size.
 
 use std::hint::black_box;
 use std::time::Duration;
@@ -7,6 +7,9 @@
 use marigoldlock_core::admission::{
     AdmissionControl, AdmissionDecision, AdmissionEvent, AdmissionParams, AdmissionRequest, FinishedWork,
 };
+use marigoldlock_core::gateway::blame::{CrashRecord, SuspectKey};
+use marigoldlock_core::gateway::crashes::{CrashTable, FleetTime};
+use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::placement::{
     AdaptivePlacement, DemandSample, EngineView, FleetView, PlacementParams, PlacementPolicy,
 };
@@ -241,5 +244,36 @@
     group.finish();
 }
 
-criterion_group!(decisions, bench_route, bench_admit, bench_place);
+/// Time to derive the causes from as many crash records as an instance keeps, and to look up one request.
+fn bench_blame(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("blame");
+    let time = FleetTime {
+        now: MonoTime::from_millis(1_000),
+        fleet_ms: 1_767_252_734_991,
+    };
+    let suspects = |request: u64| vec![SuspectKey::Request(request), SuspectKey::PromptPart(request % 50)];
+    let mut table = CrashTable::default();
+    for request in 0..200 {
+        table.record_crash(
+            CrashRecord {
+                request,
+                upstream: UpstreamKey::from(&upstream(request as usize % 60)),
+                sent_ms: time.fleet_ms - 5_000 + request,
+                crashed_ms: time.fleet_ms - 4_000 + request,
+                suspects: suspects(request),
+            },
+            time,
+        );
+    }
+    group.bench_function("update", |bencher| {
+        bencher.iter(|| table.clone().update(black_box(time)))
+    });
+    let keys = suspects(7);
+    group.bench_function("look_up", |bencher| {
+        bencher.iter(|| table.block_left(black_box(&keys), time.fleet_ms));
+    });
+    group.finish();
+}
+
+criterion_group!(decisions, bench_route, bench_admit, bench_place, bench_blame);
 criterion_main!(decisions);
