Ignore blocks and crashes with impossible times

What callers would see: one malformed record in the store, or one report, blocks requests forever, or ends a debug build. Cause: found by reading. Times were added without a bound, and a block that begins far in the future never lapses. Change: additions saturate; a block that begins more than its lifetime after now is ignored. A confirmed cause goes the same way as a block from elsewhere, so that no set of suspects can have two blocks. Before and after: a_block_or_crash_with_an_impossible_time_is_ignored overflows before and passes now.

--- a/marigoldlock_core/src/gateway/blame.rs
+++ b/marigoldlock_core/src/gateway/blame.rs
@@ -196,7 +196,7 @@
     let mut count = 0;
     let mut last_ms = 0;
     for crash in crashes {
-        if crash.record.sent_ms + tolerance >= last_ms {
+        if crash.record.sent_ms.saturating_add(tolerance) >= last_ms {
             count += 1;
             last_ms = crash.record.crashed_ms;
         }
--- a/marigoldlock_core/src/gateway/crashes.rs
+++ b/marigoldlock_core/src/gateway/crashes.rs
@@ -62,7 +62,15 @@
     }
 
     fn is_expired(&self, fleet_ms: u64) -> bool {
-        self.blocked_ms + as_ms(BLOCK_LIFETIME) + as_ms(RENEWAL_TIME) < fleet_ms
+        let end_ms = self
+            .blocked_ms
+            .saturating_add(as_ms(BLOCK_LIFETIME + RENEWAL_TIME));
+        end_ms < fleet_ms
+    }
+
+    /// True if the block can't have begun yet by any clock that is about right.
+    fn is_in_future(&self, fleet_ms: u64) -> bool {
+        self.blocked_ms > fleet_ms.saturating_add(as_ms(BLOCK_LIFETIME))
     }
 }
 
@@ -182,10 +190,16 @@
 
     /// Adds a block from the store or from another instance; returns true if it is news.
     pub fn add_block(&mut self, mut block: CrashBlock, time: FleetTime) -> bool {
-        if block.suspects.is_empty() || block.is_expired(time.fleet_ms) {
+        let is_valid = !block.suspects.is_empty() && !block.is_in_future(time.fleet_ms);
+        if !is_valid || block.is_expired(time.fleet_ms) {
             return false;
         }
         block.suspects.sort_unstable();
+        self.put_block(block, time, false)
+    }
+
+    fn put_block(&mut self, block: CrashBlock, time: FleetTime, is_own: bool) -> bool {
+        let was_blocked = self.is_blocked(&block.suspects, time.fleet_ms);
         match self
             .blocks
             .iter_mut()
@@ -193,14 +207,14 @@
         {
             Some(known) if known.blocked_ms >= block.blocked_ms => return false,
             Some(known) => known.blocked_ms = block.blocked_ms,
-            None => {
-                self.changes.push(BlockChange::Blocked(block.suspects.clone()));
-                self.blocks.push(block.clone());
-            }
+            None => self.blocks.push(block.clone()),
+        }
+        if !was_blocked {
+            self.changes.push(BlockChange::Blocked(block.suspects.clone()));
         }
         let source = ItemSource {
             learned_at: time.now,
-            is_own: false,
+            is_own,
         };
         self.block_sources.insert(block.suspects, source);
         true
@@ -212,7 +226,7 @@
             return;
         }
         self.expire(time);
-        let known: Vec<Vec<SuspectKey>> = self.blocks.iter().map(|block| self.open_part(block)).collect();
+        let known: Vec<Vec<SuspectKey>> = self.blocks.iter().map(|block| self.uncleared(block)).collect();
         let found = find_causes(&self.records, &self.completions, &known);
         let before = std::mem::take(&mut self.causes);
         for suspects in found {
@@ -241,15 +255,11 @@
             .map(|cause| cause.suspects.clone())
             .collect();
         for suspects in stable {
-            let source = ItemSource {
-                learned_at: time.now,
-                is_own: true,
-            };
-            self.block_sources.insert(suspects.clone(), source);
-            self.blocks.push(CrashBlock {
+            let block = CrashBlock {
                 suspects,
                 blocked_ms: time.fleet_ms,
-            });
+            };
+            self.put_block(block, time, true);
         }
     }
 
@@ -320,12 +330,12 @@
     }
 
     fn matches(&self, block: &CrashBlock, keys: &[SuspectKey]) -> bool {
-        let open = self.open_part(block);
+        let open = self.uncleared(block);
         !open.is_empty() && contains_all(keys, &open)
     }
 
     /// Suspects of a block under which no run has completed since.
-    fn open_part(&self, block: &CrashBlock) -> Vec<SuspectKey> {
+    fn uncleared(&self, block: &CrashBlock) -> Vec<SuspectKey> {
         let suspects = block.suspects.iter().copied();
         suspects
             .filter(|&key| self.completed_ms(key).is_none_or(|at| at < block.blocked_ms))
@@ -348,7 +358,7 @@
     fn add_record(&mut self, mut record: CrashRecord, time: FleetTime, is_own: bool) -> bool {
         record.suspects.truncate(MAX_SUSPECTS);
         let id = record_id(&record);
-        let is_old = record.crashed_ms + as_ms(RECORD_LIFETIME) < time.fleet_ms;
+        let is_old = record.crashed_ms.saturating_add(as_ms(RECORD_LIFETIME)) < time.fleet_ms;
         if record.suspects.is_empty() || is_old || self.record_sources.contains_key(&id) {
             return false;
         }
@@ -413,7 +423,7 @@
         let lapsed = self
             .blocks
             .iter()
-            .filter(|block| block.is_expired(time.fleet_ms) || self.open_part(block).is_empty());
+            .filter(|block| block.is_expired(time.fleet_ms) || self.uncleared(block).is_empty());
         let lapsed: Vec<Vec<SuspectKey>> = lapsed.map(|block| block.suspects.clone()).collect();
         self.blocks.retain(|block| !lapsed.contains(&block.suspects));
         self.changes.extend(lapsed.into_iter().map(BlockChange::Lifted));
--- a/marigoldlock_core/src/gateway/tests/crashes.rs
+++ b/marigoldlock_core/src/gateway/tests/crashes.rs
@@ -285,6 +285,43 @@
     assert!(is_blocked(&table, &[SuspectKey::Request(9), POISON], 1_000));
 }
 
+#[test]
+fn a_cause_under_a_lapsed_block_renews_it_and_adds_no_second_one() {
+    let mut table = CrashTable::default();
+    let block = CrashBlock {
+        suspects: vec![POISON],
+        blocked_ms: time(0).fleet_ms,
+    };
+    table.add_block(block, time(0));
+    crash_in_turn(
+        &mut table,
+        601_000,
+        &[&[part(1), POISON], &[part(2), POISON], &[part(3), POISON]],
+    );
+    table.update(time(700_000));
+    assert_eq!(table.blocks().len(), 1);
+    assert!(is_blocked(&table, &[POISON], 1_200_000));
+}
+
+#[test]
+fn a_block_or_crash_with_an_impossible_time_is_ignored() {
+    let mut table = CrashTable::default();
+    let block = CrashBlock {
+        suspects: vec![POISON],
+        blocked_ms: u64::MAX,
+    };
+    assert!(!table.add_block(block, time(0)));
+    for request in 0..4 {
+        let crash = CrashRecord {
+            sent_ms: u64::MAX,
+            crashed_ms: u64::MAX - request,
+            ..record(request, "u", 0, 0, &[part(1)])
+        };
+        table.record_crash(crash, time(0));
+    }
+    assert!(!is_blocked(&table, &[POISON], 0));
+}
+
 #[test]
 fn what_has_expired_is_forgotten() {
     let mut table = CrashTable::default();
