Cut single instances of a stand-in site off from the others

Tests of instances out of step need one that hears nobody while callers still reach it. An instance may now publish another address for other instances than the one that it listens on, and PeerAddress forwards from there until it is cut.

--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -379,13 +379,15 @@
         if let Some(address) = &mut addresses.metrics {
             open(address, ListenerKind::Metrics).await?;
         }
-        open(&mut parts.card.peer, ListenerKind::Peer).await?;
-        let peer = parts.card.peer;
+        let published = parts.card.peer;
+        let is_own = published == addresses.peer;
+        open(&mut addresses.peer, ListenerKind::Peer).await?;
+        let peer = addresses.peer;
         let datagrams = UdpSocket::bind(peer)
             .await
             .wrap_err_with(|| format!("bind {peer}"))?;
         open(&mut addresses.front, ListenerKind::Callers).await?;
-        addresses.peer = peer;
+        parts.card.peer = if is_own { peer } else { published };
         parts.card.front = addresses.front;
         Ok(Self { streams, datagrams })
     }
--- a/marigoldlock_fleet/src/link.rs
+++ b/marigoldlock_fleet/src/link.rs
@@ -1,6 +1,6 @@
-//! A TCP proxy on loopback that injects faults into its connections.
+//! Proxies on loopback that inject faults: into TCP connections, and into what other instances send to one.
 //!
-//! While its target is down, the proxy refuses connections, as the target itself does.
+//! While its target is down, the TCP proxy refuses connections, as the target itself does.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,7 +8,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
@@ -60,7 +60,10 @@
     ///
     /// Fails if no address can be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::serve(TcpListener::bind("127.0.0.1:0").await?, target)
+    }
+
+    fn serve(listener: TcpListener, target: SocketAddr) -> std::io::Result<Self> {
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(LinkMode::Open);
         let accept_task = tokio::spawn(accept(listener, target, modes));
@@ -88,6 +91,104 @@
     }
 }
 
+/// Address at which other instances reach one instance, and which can be cut off from them.
+///
+/// The address is known before the instance has started, since the instance publishes it.
+#[derive(Debug)]
+pub struct PeerAddress {
+    datagrams: UdpSocket,
+    connections: TcpListener,
+}
+
+impl PeerAddress {
+    /// Largest datagram, in bytes.
+    const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+
+    /// Attempts to find a port that is free for datagrams and connections.
+    const MAX_BIND_ATTEMPTS: usize = 16;
+
+    /// Reserves an address on loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free for both datagrams and connections.
+    pub async fn reserve() -> std::io::Result<Self> {
+        let mut attempts = 0;
+        loop {
+            let datagrams = UdpSocket::bind("127.0.0.1:0").await?;
+            attempts += 1;
+            match TcpListener::bind(datagrams.local_addr()?).await {
+                Ok(connections) => {
+                    return Ok(Self {
+                        datagrams,
+                        connections,
+                    });
+                }
+                Err(err) if attempts >= Self::MAX_BIND_ATTEMPTS => return Err(err),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// The address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system doesn't tell it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.datagrams.local_addr()
+    }
+
+    /// Forwards what arrives to the instance, which listens at `target`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system doesn't tell the address.
+    pub fn forward(self, target: SocketAddr) -> std::io::Result<PeerLink> {
+        let connections = LinkProxy::serve(self.connections, target)?;
+        let modes = connections.mode.subscribe();
+        let datagrams = self.datagrams;
+        let datagram_task = tokio::spawn(async move {
+            let mut buffer = vec![0; Self::MAX_DATAGRAM_BYTES];
+            loop {
+                let Ok((length, _)) = datagrams.recv_from(&mut buffer).await else {
+                    tokio::time::sleep(RETRY_INTERVAL).await;
+                    continue;
+                };
+                if *modes.borrow() == LinkMode::Open
+                    && let Err(err) = datagrams.send_to(&buffer[..length], target).await
+                {
+                    log::debug!(error:% = err; "datagram not forwarded");
+                }
+            }
+        });
+        Ok(PeerLink {
+            connections,
+            datagram_task,
+        })
+    }
+}
+
+/// The way to one instance for the others. Datagrams are lost unless the link is open.
+#[derive(Debug)]
+pub struct PeerLink {
+    connections: LinkProxy,
+    datagram_task: JoinHandle<()>,
+}
+
+impl PeerLink {
+    /// Sets the mode.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.connections.set_mode(mode);
+    }
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.datagram_task.abort();
+    }
+}
+
 /// Accepts connections while the target does.
 async fn accept(mut listener: TcpListener, target: SocketAddr, modes: watch::Receiver<LinkMode>) {
     let Ok(address) = listener.local_addr() else {
--- a/marigoldlock_fleet/src/site.rs
+++ b/marigoldlock_fleet/src/site.rs
@@ -16,7 +16,7 @@
     DutyStandin, SiteCaller, StoreStandin, UpstreamOptions, UpstreamStandin, instance_file, site_settings,
 };
 
-use crate::link::{LinkMode, LinkProxy};
+use crate::link::{LinkMode, LinkProxy, PeerAddress, PeerLink};
 
 /// Longest wait for a condition, far above the time that any of them takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -192,16 +192,41 @@
         Ok(links)
     }
 
-    /// Starts one more upstream and waits until all instances list it.
+    /// Starts one more instance that can be cut off from what the other instances send.
     ///
     /// # Errors
     ///
-    /// Fails if it can't be started or isn't listed in time.
-    pub async fn add_upstream(&mut self, options: UpstreamOptions) -> Result<()> {
+    /// Fails if it can't be started or isn't ready in time.
+    pub async fn start_separable_instance(&mut self, number: usize) -> Result<PeerLink> {
+        let peer = PeerAddress::reserve().await?;
+        let mut parts = self.instance_parts(number, false).await?;
+        parts.card.peer = peer.address()?;
+        self.start_parts(parts).await?;
+        let target = self.instances.last().map(|instance| instance.addresses().peer);
+        let target = target.ok_or_else(|| eyre!("the instance is gone"))?;
+        Ok(peer.forward(target)?)
+    }
+
+    /// Starts one more upstream, whether or not instances can learn of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be started.
+    pub async fn start_upstream(&mut self, options: UpstreamOptions) -> Result<()> {
         let upstream = UpstreamStandin::start(options).await?;
         self.store
             .put_upstream(upstream.id(), Some(&upstream.entry("ready")));
         self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    /// Starts one more upstream and waits until all instances list it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be started or isn't listed in time.
+    pub async fn add_upstream(&mut self, options: UpstreamOptions) -> Result<()> {
+        self.start_upstream(options).await?;
         until("the instances list the upstream", || {
             self.instances
                 .iter()
