--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -186,6 +186,13 @@
             .collect()
     }
 
+    /// Retained records of a topic.
+    pub fn records(&self, topic: &str) -> Vec<Bytes> {
+        let state = lock(&self.shared);
+        let topic = state.topics.get(topic);
+        topic.map_or_else(Vec::new, |topic| topic.records.clone())
+    }
+
     /// Offset after the last record of a topic.
     pub fn end(&self, topic: &str) -> u64 {
         lock(&self.shared).topics.get(topic).map_or(0, Topic::end)
