Take up streams only by news that is newer than the stream

- A lookup goes by what is known here, then by other instances, then by the store; the version that serves alone counts only if a read of the store that began after the request's arrival shows it.
Requests at the same time share one read.
- While several versions serve, the first two instances in rank append the origins of streams to the store every 200 ms (nothing is written while one serves alone).
What all instances lose together is at most that old.
- Versions that serve alone are written to the store only at the offset that the writer knows, and only by an instance whose news of upstreams is fresh.
- Without a live instance, as after a standstill, all known ones are asked.

Ruled out: to forget the version that serves alone as soon as news is older than some bound. A stream can begin 50 ms before it is taken up, so no bound is safe, and each short outage of the store would have sound streams refused.

--- a/marigoldlock/src/gateway/catch_up.rs
+++ b/marigoldlock/src/gateway/catch_up.rs
@@ -255,6 +255,9 @@
     if !response.settings.is_empty() {
         apply_settings(gateway, &Bytes::from(response.settings), "instance");
     }
+    if !response.upstreams.is_empty() {
+        gateway.state().forget_hidden_versions(gateway.now());
+    }
     for (key, offset, value) in response.upstreams {
         let record = KeyedRecord {
             offset,
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -8,6 +8,7 @@
 use marigoldlock_core::gateway::catalog::CatalogChange;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
+use marigoldlock_core::gateway::news::MAX_GAPLESS_AGE;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::state::UpstreamState;
 use marigoldlock_core::prelude::*;
@@ -44,10 +45,16 @@
 /// Follows the upstreams; never returns.
 pub async fn follow_upstreams(gateway: Arc<Gateway>) {
     let expiry = async {
+        let mut checked_at = gateway.now();
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
             let now = gateway.now();
             let mut state = gateway.state();
+            if now.since(std::mem::replace(&mut checked_at, now)) > MAX_GAPLESS_AGE {
+                // Heartbeats that arrive now may have waited in the socket for as long.
+                state.upstreams_date.reset();
+                state.forget_hidden_versions(now);
+            }
             let expired = state.catalog.expire(now);
             state.update_versions(gateway.parts.is_first_start, now);
             let stream_lifetime = state.stream_lifetime();
@@ -70,28 +77,41 @@
             continue;
         }
         cursor.skip_to(known_offset(gateway, stream));
+        let called_at = gateway.now();
         let result = match cursor.next_call(tokio::time::Instant::now(), long_poll_wait(gateway)) {
             NextCall::List => {
                 let listed = gateway.parts.store.list(stream).await;
-                listed.map(|listing| (listing, true))
+                listed.map(|listing| (listing, true, Duration::ZERO))
             }
             NextCall::Follow(offset, wait) => {
                 let followed = gateway.parts.store.follow(stream, offset, wait).await;
-                followed.map(|listing| (listing, false))
+                followed.map(|listing| (listing, false, wait))
             }
         };
         match result {
-            Ok((listing, is_listing)) => {
+            Ok((listing, is_listing, wait)) => {
                 backoff.reset();
                 record_store_success(gateway, stream);
                 cursor.advance(listing.next_offset, is_listing);
                 apply_records(gateway, stream, &listing.records, listing.next_offset, is_listing);
+                if stream == StoreStream::Upstreams {
+                    // A poll without records has ended at the store, after its wait.
+                    let waited = if listing.records.is_empty() {
+                        wait
+                    } else {
+                        Duration::ZERO
+                    };
+                    gateway.state().upstreams_date.confirm(called_at + waited);
+                }
                 if !listing.records.is_empty() {
                     tokio::time::sleep(CHANGE_DELAY).await;
                 }
             }
             Err(StoreError::Gone(first)) => {
                 log::info!(stream:%, first; "the store has dropped records; reading the whole stream again");
+                if stream == StoreStream::Upstreams {
+                    gateway.state().forget_hidden_versions(gateway.now());
+                }
                 cursor.restart(first, tokio::time::Instant::now());
             }
             Err(err) => {
@@ -208,7 +228,11 @@
             state.settings_offset = state.settings_offset.max(next_offset);
         }
         StoreStream::Upstreams => apply_upstreams(gateway, records, next_offset, is_listing),
-        StoreStream::Members | StoreStream::Crashes | StoreStream::Versions | StoreStream::Duties => {}
+        StoreStream::Members
+        | StoreStream::Crashes
+        | StoreStream::Versions
+        | StoreStream::Origins
+        | StoreStream::Duties => {}
     }
     become_ready(gateway);
 }
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod forward;
 mod heartbeats;
 mod listener;
+mod origin_log;
 mod origins;
 mod prefill;
 mod reach;
@@ -57,6 +58,7 @@
 
 use connections::ConnectionPool;
 use listener::ListenerKind;
+use origin_log::LookupState;
 use state::GatewayState;
 
 /// Time after the shutdown signal in which callers may still connect: they use cached addresses for up to
@@ -141,6 +143,8 @@
     origins_pending: Notify,
     /// Notified when another instance has told of streams.
     origins_changed: Notify,
+    /// What the store has been asked about streams.
+    lookup: tokio::sync::Mutex<LookupState>,
     /// Tasks of callers' connections and streams.
     tracker: TaskTracker,
     /// Cancelled when callers' listeners and connections shut down.
@@ -234,6 +238,7 @@
             peer_sync_differs: Notify::new(),
             origins_pending: Notify::new(),
             origins_changed: Notify::new(),
+            lookup: tokio::sync::Mutex::default(),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
             killed: CancellationToken::new(),
@@ -252,6 +257,7 @@
         );
         spawn_cancellable(&background, crash_log::keep_blocks(Arc::clone(&gateway)));
         spawn_cancellable(&background, version_log::keep_versions(Arc::clone(&gateway)));
+        spawn_cancellable(&background, origin_log::keep_origins(Arc::clone(&gateway)));
         spawn_cancellable(&background, reach::watch_reach(Arc::clone(&gateway)));
         spawn_cancellable(&background, duties::run(Arc::clone(&gateway)));
         spawn_cancellable(&background, usage::report_usage(Arc::clone(&gateway)));
--- /dev/null
+++ b/marigoldlock/src/gateway/origin_log.rs
@@ -0,0 +1,166 @@
+//! Contested origins of streams in the store, and questions to it that only a read made now can answer.
+//!
+//! While several versions of a service serve, the archivists append what they learn of streams to a log. It is read when
+//! nobody else knows a stream, which is the case after all instances were lost together. The same read brings the news of
+//! upstreams up to date, so that it is known whether a version serves alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigoldlock_core::gateway::origins::StreamOrigin;
+use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::prelude::*;
+
+use super::Gateway;
+use super::follow::{RetryBackoff, apply_records};
+
+/// Time between two writes: what is lost with all archivists is at most that old.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Maximum number of origins in one record, well below the store's limit of its size.
+const MAX_RECORD_ORIGINS: usize = 1_000;
+
+/// Time for both reads. A caller that is told to come back finds another instance in less time than it takes to wait longer.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Writes contested origins to the store while this instance is an archivist; never returns.
+pub async fn keep_origins(gateway: Arc<Gateway>) {
+    let mut backoff = RetryBackoff::default();
+    loop {
+        tokio::time::sleep(WRITE_INTERVAL).await;
+        match write_origins(&gateway).await {
+            Ok(()) => backoff.reset(),
+            Err(err) => {
+                log::warn!(error:% = err; "writing origins of streams to the store failed; retrying");
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+async fn write_origins(gateway: &Gateway) -> Result<(), StoreError> {
+    let is_archiving = gateway.is_archivist();
+    gateway.state().origins.set_archiving(is_archiving);
+    loop {
+        let origins = gateway.state().origins.take_unstored(MAX_RECORD_ORIGINS);
+        if origins.is_empty() {
+            return Ok(());
+        }
+        let record = match serde_json::to_vec(&origins) {
+            Ok(record) => record,
+            Err(err) => {
+                log::error!(error:% = err, count = origins.len(); "origins of streams can't be encoded; dropped");
+                return Ok(());
+            }
+        };
+        let appended = gateway.parts.store.append(StoreStream::Origins, &record).await;
+        if let Err(err) = appended {
+            gateway.state().origins.return_unstored(origins);
+            return Err(err);
+        }
+        metrics::counter!("gateway_origins_archived").increment(origins.len() as u64);
+    }
+}
+
+/// Outcome of the latest reads of the store.
+#[derive(Debug, Default)]
+pub struct LookupState {
+    /// Offset up to which the origins have been read.
+    next_offset: u64,
+    /// When the latest reads began, and whether they succeeded.
+    latest: Option<(MonoTime, bool)>,
+}
+
+impl Gateway {
+    /// True if this instance writes contested origins to the store.
+    fn is_archivist(&self) -> bool {
+        let state = self.state();
+        let is_contested = state
+            .version_histories
+            .values()
+            .any(|history| history.settled().is_none());
+        let own = &self.parts.card.id;
+        is_contested
+            && self
+                .fleet_view(&state)
+                .archivists(state.store.is_reachable())
+                .iter()
+                .any(|card| card.id == *own)
+    }
+
+    /// Brings origins and upstreams up to date with the store as it is at `asked_at` or later; returns false if that isn't
+    /// possible. Requests that ask at the same time share one read.
+    pub async fn look_up(&self, asked_at: MonoTime) -> bool {
+        let mut lookup = self.lookup.lock().await;
+        if let Some((began_at, is_complete)) = lookup.latest
+            && began_at >= asked_at
+        {
+            return is_complete;
+        }
+        let began_at = self.now();
+        let read = tokio::time::timeout(LOOKUP_TIMEOUT, self.read_store(&mut lookup.next_offset)).await;
+        let is_complete = match read {
+            Ok(Ok(())) => true,
+            Ok(Err(err)) => {
+                log::info!(error:% = err; "the store could not be asked about a stream");
+                false
+            }
+            Err(_) => {
+                log::info!(timeout_ms = LOOKUP_TIMEOUT.as_millis() as u64; "the store did not answer about a stream in time");
+                false
+            }
+        };
+        if is_complete {
+            self.state().upstreams_date.confirm(began_at);
+        }
+        let outcome = if is_complete { "answered" } else { "failed" };
+        metrics::counter!("gateway_origin_lookups", "outcome" => outcome).increment(1);
+        lookup.latest = Some((began_at, is_complete));
+        is_complete
+    }
+
+    async fn read_store(&self, next_offset: &mut u64) -> Result<(), StoreError> {
+        self.read_origins(next_offset).await?;
+        // Each record in between is applied in turn, so a version that came and went is seen as well.
+        let offset = self.state().upstreams_offset;
+        let store = &self.parts.store;
+        let listing = store
+            .follow(StoreStream::Upstreams, offset, Duration::ZERO)
+            .await?;
+        apply_records(
+            self,
+            StoreStream::Upstreams,
+            &listing.records,
+            listing.next_offset,
+            false,
+        );
+        Ok(())
+    }
+
+    async fn read_origins(&self, next_offset: &mut u64) -> Result<(), StoreError> {
+        let store = &self.parts.store;
+        loop {
+            let batch = match store.read(StoreStream::Origins, *next_offset).await {
+                // Older streams have ended.
+                Err(StoreError::Gone(first)) if first > *next_offset => {
+                    *next_offset = first;
+                    continue;
+                }
+                read => read?,
+            };
+            let now = self.now();
+            for (offset, record) in batch.records {
+                match serde_json::from_slice::<Vec<StreamOrigin>>(&record) {
+                    Ok(origins) => self.state().origins.restore(&origins, now),
+                    Err(err) => {
+                        log::warn!(offset, error:% = err; "a record of origins in the store is damaged; ignored");
+                    }
+                }
+            }
+            *next_offset = batch.next_offset;
+            if batch.next_offset >= batch.end_offset {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/marigoldlock/src/gateway/origins.rs
+++ b/marigoldlock/src/gateway/origins.rs
@@ -1,11 +1,11 @@
-//! Tells and asks other instances which software version began a stream.
+//! Tells and asks other instances, and in the end the store, which software version began a stream.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::origins::{
-    StreamKey, StreamOrigin, VersionHistory, VersionKey, asked_keepers, keepers,
+    StreamKey, StreamOrigin, UnsentOrigin, VersionHistory, VersionKey, asked_keepers, keepers,
 };
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
@@ -21,8 +21,8 @@
 /// Time after which a query is repeated: several round trips between data centres.
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Queries about one stream; a datagram may be lost.
-const MAX_QUERIES: usize = 4;
+/// Queries about one stream; a datagram may be lost, and the store knows what nobody answers.
+const MAX_QUERIES: usize = 2;
 
 /// Maximum number of streams in one datagram, which keeps it below the limit of UDP.
 const MAX_DATAGRAM_STREAMS: usize = 1_000;
@@ -49,23 +49,39 @@
             version,
         };
         let now = self.gateway.now();
-        self.gateway.state().origins.record(origin, now);
+        let mut state = self.gateway.state();
+        let history = state.version_histories.get(&entry.service);
+        let is_contested = history.is_none_or(|history| history.settled().is_none());
+        state.origins.record(origin, is_contested, now);
+        drop(state);
         self.gateway.origins_pending.notify_one();
     }
 
+    /// Finds the version that began the stream: as it is known here, to other instances or to the store; else the one that
+    /// serves alone. The latter may only be used on news that is newer than the stream, and the store alone tells that.
     async fn find_version(&self) -> Result<VersionKey, Refusal> {
         let stream = self.head.resumes.as_deref().map(StreamKey::from);
-        if let Some(version) = stream.and_then(|stream| self.gateway.state().origins.version(stream)) {
-            return Ok(version);
-        }
-        if let Some(version) = self.settled_version() {
-            return Ok(version);
+        if let Some(stream) = stream {
+            if let Some(version) = self.gateway.state().origins.version(stream) {
+                return Ok(version);
+            }
+            if let Some(version) = self.gateway.ask_origin(stream).await {
+                return Ok(version);
+            }
         }
-        let version = match stream {
-            Some(stream) => self.gateway.ask_origin(stream).await,
-            None => None,
-        };
-        version.ok_or_else(|| Refusal::new(RefusalCause::UnknownVersion).retry_after(RETRY_AFTER))
+        let is_current = self.gateway.look_up(self.arrived).await;
+        let archived = stream.and_then(|stream| self.gateway.state().origins.version(stream));
+        let version = archived.or_else(|| is_current.then(|| self.settled_version())?);
+        version.ok_or_else(|| {
+            let now = self.gateway.now();
+            let news_age = self.gateway.state().upstreams_date.age(now);
+            log::info!(
+                request = self.head.attempt_id, stream = self.head.resumes.as_deref(), is_store_read = is_current,
+                news_age_ms = news_age.map(|age| age.as_millis() as u64);
+                "nobody knows which version began the stream"
+            );
+            Refusal::new(RefusalCause::UnknownVersion).retry_after(RETRY_AFTER)
+        })
     }
 
     /// Takes up the stream at the version that began it, also if that is one of another service of the route.
@@ -91,12 +107,21 @@
         Ok(())
     }
 
-    /// The version that has served alone for as long as the stream can have gone on.
+    /// The version that has served alone for as long as the stream can have gone on. Only news from after the request's
+    /// arrival names every version that may have begun the stream.
     fn settled_version(&self) -> Option<VersionKey> {
         let state = self.gateway.state();
-        let history = state.version_histories.get(&self.service);
-        let version = history.and_then(VersionHistory::settled)?;
-        Some(VersionKey::new(&self.service, version))
+        let version = state
+            .version_histories
+            .get(&self.service)
+            .and_then(VersionHistory::settled)?;
+        // What the store named as alone at the start may have been out of date.
+        let settled = state.version_histories.iter().filter_map(|(service, history)| {
+            let version = history.settled()?;
+            Some(VersionKey::new(service, version))
+        });
+        let settled: Vec<VersionKey> = settled.collect();
+        (!state.origins.has_others(&settled)).then(|| VersionKey::new(&self.service, version))
     }
 }
 
@@ -104,7 +129,7 @@
     /// Queues a query about a stream; returns false if there is nobody to ask.
     fn queue_query(&self, stream: StreamKey) -> bool {
         let mut state = self.state();
-        if state.members.live(self.now()).next().is_none() {
+        if state.members.all().next().is_none() {
             return false;
         }
         state.origin_queries.push(stream);
@@ -160,9 +185,21 @@
         members: &state.members,
         now: gateway.now(),
     };
+    let own = &gateway.parts.card.id;
+    let archivists: Vec<SocketAddr> = view
+        .archivists(state.store.is_reachable())
+        .into_iter()
+        .filter(|card| card.id != *own)
+        .map(|card| card.peer)
+        .collect();
     let mut pending = PendingStreams::default();
-    for origin in origins {
-        for address in keepers(&view, origin.stream) {
+    for UnsentOrigin { origin, is_contested } in origins {
+        let mut addresses = keepers(&view, origin.stream);
+        if is_contested {
+            let others = archivists.iter().filter(|address| !addresses.contains(address));
+            addresses.extend(others.copied().collect::<Vec<_>>());
+        }
+        for address in addresses {
             pending.entry(address).or_default().0.push(origin);
         }
     }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use marigoldlock_core::gateway::duty::DutyState;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage, MemberTable, SyncState};
+use marigoldlock_core::gateway::news::NewsDate;
 use marigoldlock_core::gateway::origins::{OriginTable, StreamKey, VersionHistory};
 use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
@@ -60,6 +61,8 @@
     pub upstreams_offset: u64,
     /// Digest of the records of the listed upstreams.
     upstreams_digest: u64,
+    /// When the listing of upstreams was last known to be complete.
+    pub upstreams_date: NewsDate,
     /// Load and health of upstreams.
     pub upstreams: FastMap<UpstreamId, UpstreamState>,
     /// Crashes of upstreams, and the requests that are blocked because of them.
@@ -164,6 +167,7 @@
     /// at a version that is not listed any more.
     pub fn update_versions(&mut self, is_first_start: bool, now: MonoTime) {
         let stream_lifetime = self.stream_lifetime();
+        let mut has_contested = false;
         let mut listed: FastMap<&ServiceId, Vec<&SoftwareVersion>> = FastMap::default();
         for entry in self.catalog.entries() {
             listed.entry(&entry.service).or_default().push(&entry.version);
@@ -182,9 +186,29 @@
             let before = history.settled().cloned();
             history.update(&versions, stream_lifetime, now);
             if history.settled() != before.as_ref() {
+                has_contested |= history.settled().is_none();
                 log::info!(service:%, version = history.settled().map(SoftwareVersion::as_str); "the version that serves alone has changed");
             }
         }
+        if has_contested {
+            self.origins.contest();
+        }
+    }
+
+    /// Forgets which versions have served alone if changes may have been missed. What is listed now is read without the
+    /// changes that led to it.
+    pub fn forget_hidden_versions(&mut self, now: MonoTime) {
+        if !self.upstreams_date.may_hide_changes(now) {
+            return;
+        }
+        let age_ms = self.upstreams_date.age(now).map(|age| age.as_millis() as u64);
+        for (service, history) in &mut self.version_histories {
+            if let Some(version) = history.settled() {
+                log::info!(service:%, version:%, news_age_ms = age_ms; "upstreams may have come and gone unseen; no version counts as alone");
+            }
+            history.reset();
+        }
+        self.origins.contest();
     }
 
     /// State of an upstream, created if it is new.
--- a/marigoldlock/src/gateway/version_log.rs
+++ b/marigoldlock/src/gateway/version_log.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldlock_core::gateway::adapter::AppendOutcome;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
@@ -17,10 +18,15 @@
 /// Time between two checks for changes to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Age of its news of upstreams up to which an instance writes which version serves alone; longer than a follower's long
+/// poll.
+const MAX_NEWS_AGE: Duration = Duration::from_millis(1_600);
+
 /// Reads the versions from the store, then keeps them there up to date; never returns.
 pub async fn keep_versions(gateway: Arc<Gateway>) {
     let mut log = VersionLog {
         stored: FastMap::default(),
+        end: 0,
         gateway,
     };
     let mut backoff = RetryBackoff::default();
@@ -32,14 +38,14 @@
         } else if is_current {
             log.write_changes().await
         } else {
-            Ok(())
+            Ok(true)
         };
         match result {
-            Ok(()) => {
+            Ok(is_known) => {
                 backoff.reset();
                 is_first_read = false;
                 // What another instance writes from now on isn't known here.
-                is_current = log.is_writer();
+                is_current = is_known && log.is_writer();
                 tokio::time::sleep(CHECK_INTERVAL).await;
             }
             Err(err) => {
@@ -54,12 +60,16 @@
     gateway: Arc<Gateway>,
     /// Versions in the store, as far as this instance knows.
     stored: FastMap<ServiceId, SoftwareVersion>,
+    /// Offset at which the stream ends, as far as this instance knows. A write that is carried out late, or that rests on
+    /// what another instance has changed since, fails by it.
+    end: u64,
 }
 
 impl VersionLog {
-    /// Reads the versions; `adopts` them if this instance has just started.
-    async fn read(&mut self, adopts: bool) -> Result<(), StoreError> {
+    /// Reads the versions; `adopts` them if this instance has just started. Returns true.
+    async fn read(&mut self, adopts: bool) -> Result<bool, StoreError> {
         let listing = self.gateway.parts.store.list(StoreStream::Versions).await?;
+        self.end = listing.next_offset;
         self.stored.clear();
         for record in listing.records {
             let Some(value) = record.value.filter(|value| !value.is_empty()) else {
@@ -82,11 +92,11 @@
                 history.adopt(version.clone());
             }
         }
-        Ok(())
+        Ok(true)
     }
 
-    /// Writes the versions that differ from those in the store.
-    async fn write_changes(&mut self) -> Result<(), StoreError> {
+    /// Writes the versions that differ from those in the store; returns false if those aren't known any more.
+    async fn write_changes(&mut self) -> Result<bool, StoreError> {
         let histories = self.gateway.state().version_histories.clone();
         for (service, history) in histories {
             if history.settled() == self.stored.get(&service) {
@@ -95,16 +105,26 @@
             let version = history.settled().cloned();
             let value = version.as_ref().map_or("", SoftwareVersion::as_str);
             let store = &self.gateway.parts.store;
-            store
-                .put(StoreStream::Versions, service.as_str(), value.as_bytes())
-                .await?;
+            let put = store.put_at(
+                StoreStream::Versions,
+                service.as_str(),
+                value.as_bytes(),
+                self.end,
+            );
+            match put.await? {
+                AppendOutcome::Appended(offset) => self.end = offset + 1,
+                AppendOutcome::EndMismatch(end) => {
+                    log::info!(end; "another instance has written versions to the store; reading them again");
+                    return Ok(false);
+                }
+            }
             log::info!(service:%, version = value; "version that serves alone written to the store");
             match version {
                 Some(version) => self.stored.insert(service, version),
                 None => self.stored.remove(&service),
             };
         }
-        Ok(())
+        Ok(true)
     }
 
     fn is_writer(&self) -> bool {
@@ -114,6 +134,7 @@
             members: &state.members,
             now: self.gateway.now(),
         };
-        state.store.is_reachable() && view.is_first_successor()
+        let is_informed = state.upstreams_date.is_within(MAX_NEWS_AGE, view.now);
+        is_informed && state.store.is_reachable() && view.is_first_successor()
     }
 }
--- a/marigoldlock/tests/platform_versions.rs
+++ b/marigoldlock/tests/platform_versions.rs
@@ -5,21 +5,26 @@
 use std::collections::HashSet;
 
 use futures::StreamExt as _;
+use marigoldlock_core::gateway::origins::StreamOrigin;
+use marigoldlock_fleet::link::LinkMode;
 use marigoldlock_standin::site::{EVENTS_PER_STREAM, UpstreamOptions, UpstreamStandin};
 use platform_support::{Site, event_ids};
 
 /// Streams of each test: enough that a choice that ignores versions crosses them in at least one.
 const STREAMS: usize = 12;
 
-async fn add_engine(site: &mut Site, id: &str, version: &str) {
-    let options = UpstreamOptions {
+fn engine(id: &str, version: &str) -> UpstreamOptions {
+    UpstreamOptions {
         id: id.into(),
         service: "llm".into(),
         zone: "a".into(),
         stage: Some("decode"),
         version: version.into(),
-    };
-    site.add_upstream(options).await.unwrap();
+    }
+}
+
+async fn add_engine(site: &mut Site, id: &str, version: &str) {
+    site.add_upstream(engine(id, version)).await.unwrap();
 }
 
 /// A site with two decode engines of each of two versions.
@@ -174,6 +179,22 @@
 /// Stream of the store in which instances keep the versions that serve alone.
 const VERSIONS_TOPIC: &str = "keyed.versions";
 
+/// Stream of the store in which instances keep which version began each stream.
+const ORIGINS_TOPIC: &str = "origins";
+
+/// Waits until the store holds the origins of this many streams.
+async fn wait_for_archive(site: &Site, streams: usize) {
+    platform_support::wait_until("the versions of the streams are in the store", || {
+        let records = site.store.records(ORIGINS_TOPIC);
+        let archived = records.iter().flat_map(|record| {
+            let origins: Vec<StreamOrigin> = serde_json::from_slice(record).unwrap();
+            origins.into_iter().map(|origin| origin.stream)
+        });
+        archived.collect::<HashSet<_>>().len() >= streams
+    })
+    .await;
+}
+
 /// Restarts all instances at the same time once the store holds the versions that serve alone.
 async fn restart_site(site: &mut Site, change: impl AsyncFnOnce(&mut Site)) {
     let services = 2;
@@ -216,3 +237,138 @@
     assert_eq!(resume_stream(&site, 0, "never-seen", 2).await, (503, None));
     assert_eq!(site.runs_of("never-seen-again"), 0);
 }
+
+/// Index and endpoint of the store of the instance that is out of step.
+const SEPARATE: usize = 2;
+
+/// Guards against streams that hold events of two software versions: while engines of a new version joined, one instance was
+/// out of step, and took the version that had served alone for that of all streams.
+#[tokio::test]
+async fn an_instance_out_of_step_takes_up_no_stream_at_another_version() {
+    let mut site = Site::start(2).await;
+    platform_support::wait_until("the versions are in the store", || {
+        site.store.end(VERSIONS_TOPIC) >= 2
+    })
+    .await;
+    let link = site.start_separable_instance(SEPARATE).await.unwrap();
+    platform_support::wait_until("the instances discover each other", || {
+        site.instances.iter().all(|instance| instance.live_members() == 2)
+    })
+    .await;
+    let resumed = resume_stream(&site, SEPARATE, "never-seen", 2).await;
+    assert_eq!(
+        resumed,
+        (200, Some(EVENTS_PER_STREAM - 1)),
+        "one version has served alone"
+    );
+
+    link.set_mode(LinkMode::Silent);
+    site.store.set_endpoint_refusal(SEPARATE, Some(503));
+    platform_support::wait_until("the instance hears nobody", || {
+        site.instances[SEPARATE].live_members() == 0
+    })
+    .await;
+    for id in ["d3", "d4"] {
+        site.start_upstream(engine(id, "v2")).await.unwrap();
+    }
+    platform_support::wait_until("the others list the new engines", || {
+        let mut others = site.instances.iter().take(SEPARATE);
+        others.all(|instance| instance.usable_upstreams() == site.upstreams.len())
+    })
+    .await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let attempt = format!("s{number}");
+        let last_event = begin_stream(&site, number % SEPARATE, &attempt).await;
+        begun.push((attempt, last_event));
+    }
+    for (attempt, last_event) in &begun {
+        let (status, _) = resume_stream(&site, SEPARATE, attempt, *last_event).await;
+        assert!([200, 503].contains(&status), "{attempt}: {status}");
+        let again = format!("{attempt}-again");
+        assert_eq!(versions(&site, &[attempt, &again]).len(), 1, "{attempt}");
+    }
+
+    link.set_mode(LinkMode::Open);
+    site.store.set_endpoint_refusal(SEPARATE, None);
+    platform_support::wait_until("the instance has caught up", || {
+        site.instances[SEPARATE].usable_upstreams() == site.upstreams.len()
+    })
+    .await;
+    for number in 0..STREAMS {
+        let attempt = format!("late-{number}");
+        let last_event = begin_stream(&site, number % SEPARATE, &attempt).await;
+        let resumed = resume_stream(&site, SEPARATE, &attempt, last_event).await;
+        assert_eq!(resumed, (200, Some(EVENTS_PER_STREAM - 1)), "{attempt}");
+    }
+}
+
+/// Guards against refusals of sound streams: while two versions served, all instances were killed, and nobody knew any more
+/// which one had begun a stream.
+#[tokio::test]
+async fn a_stream_goes_on_at_its_version_after_all_instances_were_killed() {
+    let mut site = start_mixed_site(3).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let attempt = format!("s{number}");
+        let last_event = begin_stream(&site, number % 3, &attempt).await;
+        begun.push((attempt, last_event));
+    }
+    wait_for_archive(&site, STREAMS).await;
+    restart_site(&mut site, async |_| {}).await;
+    for (number, (attempt, last_event)) in begun.iter().enumerate() {
+        let resumed = resume_stream(&site, number % 3, attempt, *last_event).await;
+        assert_eq!(resumed, (200, Some(EVENTS_PER_STREAM - 1)), "{attempt}");
+        let again = format!("{attempt}-again");
+        assert_eq!(versions(&site, &[attempt, &again]).len(), 1, "{attempt}");
+    }
+}
+
+/// Guards against streams that hold events of two software versions: all instances were killed, and the store named as alone
+/// a version beside which another one had served until then.
+#[tokio::test]
+async fn a_stream_of_a_version_that_left_during_a_restart_goes_on_nowhere() {
+    let mut site = Site::start(2).await;
+    platform_support::wait_until("the versions are in the store", || {
+        site.store.end(VERSIONS_TOPIC) >= 2
+    })
+    .await;
+    let alone = site.store.values(VERSIONS_TOPIC)["llm"].clone();
+    for id in ["d3", "d4"] {
+        add_engine(&mut site, id, "v2").await;
+    }
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let attempt = format!("s{number}");
+        let last_event = begin_stream(&site, number % 2, &attempt).await;
+        begun.push((attempt, last_event));
+    }
+    platform_support::wait_until("the store names no version as alone", || {
+        !site.store.values(VERSIONS_TOPIC).contains_key("llm")
+    })
+    .await;
+    wait_for_archive(&site, STREAMS / 2).await;
+    restart_site(&mut site, async |site| {
+        // An append without an answer may be carried out seconds later.
+        site.store.put(VERSIONS_TOPIC, "llm", Some(&alone));
+        for id in ["d3", "d4"] {
+            site.store.put_upstream(id, None);
+        }
+        let began_at = |upstream: &UpstreamStandin| upstream.version() == "v2";
+        let left: Vec<UpstreamStandin> = site
+            .upstreams
+            .extract_if(.., |upstream| began_at(upstream))
+            .collect();
+        begun.retain(|(attempt, _)| {
+            let mut runs = left.iter().flat_map(UpstreamStandin::runs);
+            runs.any(|run| run.attempt == *attempt && !run.is_prefill)
+        });
+    })
+    .await;
+    assert!(!begun.is_empty(), "no stream began at v2");
+    for (attempt, last_event) in &begun {
+        let resumed = resume_stream(&site, 0, attempt, *last_event).await;
+        assert_eq!(resumed, (503, None), "{attempt}");
+        assert_eq!(site.runs_of(&format!("{attempt}-again")), 0, "{attempt}");
+    }
+}
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -182,6 +182,9 @@
     /// Software version of each service that has served alone, written by the instances.
     #[display("versions")]
     Versions,
+    /// Software version that began each stream, while several versions serve; written by the instances.
+    #[display("origins")]
+    Origins,
     /// Claims of the duties and the usage counts that their holders have fixed.
     #[display("duties")]
     Duties,
@@ -261,6 +264,18 @@
     /// Sets a key of a keyed stream.
     async fn put(&self, stream: StoreStream, key: &str, value: &[u8]) -> Result<(), StoreError>;
 
+    /// Sets a key of a keyed stream if the stream ends at `end`.
+    async fn put_at(
+        &self,
+        stream: StoreStream,
+        key: &str,
+        value: &[u8],
+        end: u64,
+    ) -> Result<AppendOutcome, StoreError>;
+
+    /// Appends a record to a plain stream.
+    async fn append(&self, stream: StoreStream, record: &[u8]) -> Result<(), StoreError>;
+
     /// Reads a plain stream from `offset` on.
     async fn read(&self, stream: StoreStream, offset: u64) -> Result<RecordBatch, StoreError>;
 
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -57,6 +57,9 @@
 /// that the counts survive the loss of the holder.
 const USAGE_REPLICAS: usize = 4;
 
+/// Number of instances that write contested origins of streams to the store: one may be lost before it has.
+const ARCHIVISTS: usize = 2;
+
 /// Heartbeat interval of each instance in a fleet of this size.
 pub fn heartbeat_interval(instances: usize) -> Duration {
     let scaled = HEARTBEAT_INTERVAL_PER_INSTANCE * u32::try_from(instances).unwrap_or(u32::MAX);
@@ -214,6 +217,18 @@
         })
     }
 
+    /// Instances that write contested origins of streams to the store: the first in rank that reach it.
+    pub fn archivists(&self, own_reaches_store: bool) -> Vec<&'a MemberCard> {
+        let others = self.members.live(self.now);
+        let others = others
+            .filter(|member| member.report.stage == MemberStage::Ready && self.has_recent_response(member))
+            .map(MemberState::card);
+        let mut cards: Vec<&MemberCard> = others.chain(own_reaches_store.then_some(self.own)).collect();
+        cards.sort_by_cached_key(|card| rank(card));
+        cards.truncate(ARCHIVISTS);
+        cards
+    }
+
     /// True if this instance is among the first in rank, one of which succeeds a lost holder of the duties.
     pub fn is_successor(&self) -> bool {
         let ranked = self.ranked();
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod exchange;
 pub mod members;
+pub mod news;
 pub mod origins;
 pub mod outcome;
 pub mod pace;
--- a/marigoldlock_core/src/gateway/origins.rs
+++ b/marigoldlock_core/src/gateway/origins.rs
@@ -5,7 +5,8 @@
 //! stream's id; an instance that doesn't know a stream asks them.
 //!
 //! While one version of a service serves alone, its streams can only have begun at that one. [`VersionHistory`] knows
-//! whether that has been so for as long as a stream may last.
+//! whether that has been so for as long as a stream may last. While it isn't so, origins are *contested*: a few instances,
+//! the *archivists*, keep them in the store as well, since all instances may be lost together.
 
 use std::collections::VecDeque;
 use std::hash::Hasher;
@@ -77,28 +78,103 @@
     pub version: VersionKey,
 }
 
+/// An origin of which other instances are to be told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnsentOrigin {
+    /// The origin.
+    pub origin: StreamOrigin,
+    /// True if the stream may have begun at several versions, so that the archivists are told too.
+    pub is_contested: bool,
+}
+
+/// A stream whose origin is known.
+#[derive(Clone, Copy, Debug)]
+struct KnownStream {
+    since: MonoTime,
+    stream: StreamKey,
+    /// True if the stream began here.
+    is_own: bool,
+}
+
 /// Known origins of streams.
 #[derive(Clone, Debug, Default)]
 pub struct OriginTable {
     versions: FastMap<StreamKey, VersionKey>,
     /// Streams in the order in which they became known.
-    known_since: VecDeque<(MonoTime, StreamKey)>,
-    unsent: Vec<StreamOrigin>,
+    known: VecDeque<KnownStream>,
+    unsent: Vec<UnsentOrigin>,
+    /// Origins to be written to the store.
+    unstored: Vec<StreamOrigin>,
+    is_archiving: bool,
 }
 
 impl OriginTable {
-    /// Records a stream that has begun here; its keepers are to be told.
-    pub fn record(&mut self, origin: StreamOrigin, now: MonoTime) {
-        if self.insert(origin, now) {
-            self.unsent.push(origin);
+    /// Records a stream that has begun here; its keepers are to be told, and the archivists if it is contested.
+    pub fn record(&mut self, origin: StreamOrigin, is_contested: bool, now: MonoTime) {
+        if self.insert(origin, true, now) {
+            self.unsent.push(UnsentOrigin { origin, is_contested });
+            self.queue_unstored(origin);
         }
     }
 
     /// Adds what another instance has told.
     pub fn merge(&mut self, origins: &[StreamOrigin], now: MonoTime) {
         for origin in origins {
-            self.insert(*origin, now);
+            if self.insert(*origin, false, now) {
+                self.queue_unstored(*origin);
+            }
+        }
+    }
+
+    /// Adds what the store holds.
+    pub fn restore(&mut self, origins: &[StreamOrigin], now: MonoTime) {
+        for origin in origins {
+            self.insert(*origin, false, now);
+        }
+    }
+
+    /// Tells others again of the streams that began here: they have become contested.
+    pub fn contest(&mut self) {
+        let own = self.known.iter().filter(|known| known.is_own);
+        let origins: Vec<StreamOrigin> = own.filter_map(|known| self.origin(known.stream)).collect();
+        self.unsent.extend(origins.into_iter().map(|origin| UnsentOrigin {
+            origin,
+            is_contested: true,
+        }));
+    }
+
+    /// Begins or ceases to queue origins for the store; all that are known are queued when it begins.
+    pub fn set_archiving(&mut self, is_archiving: bool) {
+        if is_archiving && !self.is_archiving {
+            let origins = self.known.iter().filter_map(|known| self.origin(known.stream));
+            self.unstored = origins.collect();
+        } else if !is_archiving {
+            self.unstored.clear();
         }
+        self.is_archiving = is_archiving;
+    }
+
+    /// Takes up to `count` origins that are to be written to the store.
+    pub fn take_unstored(&mut self, count: usize) -> Vec<StreamOrigin> {
+        self.unstored.drain(..count.min(self.unstored.len())).collect()
+    }
+
+    /// Queues origins again that could not be written to the store.
+    pub fn return_unstored(&mut self, origins: Vec<StreamOrigin>) {
+        if self.is_archiving && self.unstored.len() + origins.len() <= MAX_ORIGINS {
+            self.unstored.splice(..0, origins);
+        }
+    }
+
+    fn queue_unstored(&mut self, origin: StreamOrigin) {
+        if self.is_archiving && self.unstored.len() < MAX_ORIGINS {
+            self.unstored.push(origin);
+        }
+    }
+
+    fn origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        let version = self.version(stream)?;
+        Some(StreamOrigin { stream, version })
     }
 
     /// The version that began a stream, if it is known.
@@ -106,45 +182,48 @@
         self.versions.get(&stream).copied()
     }
 
+    /// True if a stream that is known began at none of these versions.
+    pub fn has_others(&self, versions: &[VersionKey]) -> bool {
+        self.versions.values().any(|version| !versions.contains(version))
+    }
+
     /// Known origins of these streams.
     pub fn find(&self, streams: &[StreamKey]) -> Vec<StreamOrigin> {
-        let origins = streams.iter().filter_map(|stream| {
-            let version = self.version(*stream)?;
-            Some(StreamOrigin {
-                stream: *stream,
-                version,
-            })
-        });
+        let origins = streams.iter().filter_map(|stream| self.origin(*stream));
         origins.collect()
     }
 
-    /// Takes the origins of which no keeper has been told yet.
-    pub fn take_unsent(&mut self) -> Vec<StreamOrigin> {
+    /// Takes the origins of which other instances have not been told yet.
+    pub fn take_unsent(&mut self) -> Vec<UnsentOrigin> {
         std::mem::take(&mut self.unsent)
     }
 
     /// Drops streams that became known `lifetime` ago.
     pub fn expire(&mut self, lifetime: Duration, now: MonoTime) {
-        while let Some((since, stream)) = self.known_since.front()
-            && now.since(*since) >= lifetime
+        while let Some(known) = self.known.front()
+            && now.since(known.since) >= lifetime
         {
-            self.versions.remove(stream);
-            self.known_since.pop_front();
+            self.versions.remove(&known.stream);
+            self.known.pop_front();
         }
     }
 
     /// Adds an origin; returns false if the stream is known. A stream has one origin, so the first one told holds.
-    fn insert(&mut self, origin: StreamOrigin, now: MonoTime) -> bool {
+    fn insert(&mut self, origin: StreamOrigin, is_own: bool, now: MonoTime) -> bool {
         if self.versions.contains_key(&origin.stream) {
             return false;
         }
-        if self.known_since.len() >= MAX_ORIGINS
-            && let Some((_, oldest)) = self.known_since.pop_front()
+        if self.known.len() >= MAX_ORIGINS
+            && let Some(oldest) = self.known.pop_front()
         {
-            self.versions.remove(&oldest);
+            self.versions.remove(&oldest.stream);
         }
         self.versions.insert(origin.stream, origin.version);
-        self.known_since.push_back((now, origin.stream));
+        self.known.push_back(KnownStream {
+            since: now,
+            stream: origin.stream,
+            is_own,
+        });
         true
     }
 }
@@ -159,9 +238,13 @@
     nearest(view, stream, ASKED_KEEPERS)
 }
 
-/// The live instances that come first in an order that differs for each stream and is the same on all instances.
+/// The live instances that come first in an order that differs for each stream and is the same on all instances. Without
+/// any, as after a standstill, all that are known.
 fn nearest(view: &FleetView<'_>, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
     let mut cards: Vec<_> = view.members.live(view.now).map(MemberState::card).collect();
+    if cards.is_empty() {
+        cards = view.members.all().map(MemberState::card).collect();
+    }
     cards.sort_by_cached_key(|card| {
         let mut hasher = FxHasher::default();
         hasher.write_u64(stream.0);
@@ -226,7 +309,13 @@
         }
     }
 
-    /// The only version at which a stream that still goes on can have begun; `None` if that isn't certain.
+    /// Forgets what was known, because changes may have been missed.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The only version at which a stream that still goes on can have begun, as of the news that this history rests on;
+    /// `None` if that isn't certain.
     pub fn settled(&self) -> Option<&SoftwareVersion> {
         self.settled.as_ref()
     }
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod load;
 mod members;
+mod news;
 mod origins;
 mod pace;
 mod reach;
--- a/marigoldlock_core/src/gateway/tests/origins.rs
+++ b/marigoldlock_core/src/gateway/tests/origins.rs
@@ -12,7 +12,7 @@
 use crate::gateway::exchange::FleetView;
 use crate::gateway::members::{MemberCard, MemberReport, MemberTable, ReportPath};
 use crate::gateway::origins::{
-    OriginTable, StreamKey, StreamOrigin, VersionHistory, VersionKey, asked_keepers, keepers,
+    OriginTable, StreamKey, StreamOrigin, UnsentOrigin, VersionHistory, VersionKey, asked_keepers, keepers,
 };
 
 const LIFETIME: Duration = Duration::from_secs(60);
@@ -89,12 +89,16 @@
 #[test]
 fn the_first_origin_of_a_stream_holds() {
     let mut table = OriginTable::default();
-    table.record(origin("s1", "v1"), at(0));
-    table.record(origin("s1", "v2"), at(1));
+    table.record(origin("s1", "v1"), false, at(0));
+    table.record(origin("s1", "v2"), false, at(1));
     table.merge(&[origin("s1", "v2")], at(2));
     let begun = origin("s1", "v1");
     assert_eq!(table.version(begun.stream), Some(begun.version));
-    assert_eq!(table.take_unsent(), [begun]);
+    let unsent = UnsentOrigin {
+        origin: begun,
+        is_contested: false,
+    };
+    assert_eq!(table.take_unsent(), [unsent]);
     assert_eq!(table.take_unsent(), []);
 }
 
@@ -102,7 +106,7 @@
 fn origins_expire_after_the_lifetime_of_streams() {
     let mut table = OriginTable::default();
     let (first, second) = (origin("s1", "v1"), origin("s2", "v1"));
-    table.record(first, at(0));
+    table.record(first, false, at(0));
     table.merge(&[second], at(10_000));
     table.expire(LIFETIME, at(59_999));
     assert_eq!(table.find(&[first.stream, second.stream]), [first, second]);
