Fix the counts of a usage window once all instances have told theirs

Counts were fixed 1.5 s after a window's end, and 1.5 s after an instance took the duties.

A window is now fixed once every instance that can have served in it has told of a later window, at the latest when seven tenths of the time until its report is due have passed. A new holder waits until all instances know it, however late the report is. An instance tells of the current window also without a request in it. The messages are the same.

Ruled out: longer fixed times. They would have to follow the fleet's size and the length of the worst cut, and delay the reports of small fleets for nothing.

--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -246,7 +246,15 @@
     let window = gateway.window(unix_ms);
     let fleet_window = gateway.window(state.fleet_clock.unix_ms(unix_ms, now));
     let oldest = window.min(fleet_window).saturating_sub(REPORTED_PAST_WINDOWS);
-    state.usage.counts_since(&source, oldest)
+    let mut counts = state.usage.counts_since(&source, oldest);
+    // Tells that the earlier windows are complete, also without requests in this one.
+    if counts.iter().all(|counts| counts.window < fleet_window) {
+        counts.push(WindowCounts {
+            window: fleet_window,
+            counts: Vec::new(),
+        });
+    }
+    counts
 }
 
 async fn receive_heartbeats(gateway: &Gateway, socket: &UdpSocket) {
--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -10,6 +10,7 @@
 use marigoldlock_core::gateway::adapter::{DutyHolder, DutyOutcome};
 use marigoldlock_core::gateway::call::CustomerCounts;
 use marigoldlock_core::gateway::duty::DutyRecord;
+use marigoldlock_core::gateway::usage::EndedWindow;
 use marigoldlock_core::prelude::*;
 
 use super::Gateway;
@@ -18,10 +19,6 @@
 /// Time between two checks for windows to report.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which a window stays open after its end: requests that started in it are reported within a few
-/// heartbeats.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time after taking the duties before the first counts are fixed: all instances must have sent their counts
 /// to the new holder.
 const COLLECTION_TIME: Duration = Duration::from_millis(1_500);
@@ -92,16 +89,23 @@
         if now.since(since) < COLLECTION_TIME {
             return;
         }
-        let settled = self
-            .gateway
-            .fleet_unix_ms()
-            .saturating_sub(SETTLE_TIME.as_millis() as u64);
-        let current = self.gateway.window(settled);
+        let fleet_ms = self.gateway.fleet_unix_ms();
+        let current = self.gateway.window(fleet_ms);
         let length = self.gateway.bounds().usage_window;
         let due = self.gateway.bounds().usage_due.as_millis() / length.as_millis().max(1);
         let oldest = current.saturating_sub(u64::try_from(due).unwrap_or(2) + 1);
         for window in oldest..current {
-            if !self.reported.contains(&window) && !self.report(fence, window).await {
+            if self.reported.contains(&window) {
+                continue;
+            }
+            let ended_ms = (window + 1).saturating_mul(u64::try_from(length.as_millis()).unwrap_or(u64::MAX));
+            let ended = EndedWindow {
+                window,
+                ended_for: Duration::from_millis(fleet_ms.saturating_sub(ended_ms)),
+                due: self.gateway.bounds().usage_due,
+                held_since: since,
+            };
+            if !self.report(fence, ended).await {
                 return;
             }
         }
@@ -109,16 +113,21 @@
     }
 
     /// Fixes and reports one window; returns false if the remaining windows must wait.
-    async fn report(&mut self, fence: u64, window: u64) -> bool {
-        let (fixed, has_counts) = {
+    async fn report(&mut self, fence: u64, ended: EndedWindow) -> bool {
+        let window = ended.window;
+        let (fixed, has_counts, may_fix, missing) = {
             let state = self.gateway.state();
+            let view = self.gateway.fleet_view(&state);
             (
                 state.duty_state.usage(window).map(<[_]>::to_vec),
                 !state.usage.total(window).is_empty(),
+                state.usage.may_fix(ended, &view),
+                state.usage.missing(window, &view),
             )
         };
         let counts = match fixed {
             Some(counts) => counts,
+            None if !may_fix => return false,
             None if !has_counts => {
                 self.reported.insert(window);
                 return true;
@@ -137,7 +146,12 @@
             fence,
         };
         let outcome = duties.report_usage(holder, window, &counts).await;
-        log::info!(window, fence, requests = counts.values().sum::<u64>(), outcome:? = outcome; "usage reported");
+        log::info!(
+            window, fence, requests = counts.values().sum::<u64>(), untold = missing, outcome:? = outcome,
+            ended_ms = ended.ended_for.as_millis() as u64;
+            "usage reported"
+        );
+        metrics::gauge!("gateway_usage_untold_instances").set(missing as f64);
         match outcome {
             DutyOutcome::Accepted => {
                 self.reported.insert(window);
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -36,7 +36,7 @@
 
 /// Rounds between two heartbeats to a usage replica in another data centre. A usage window stays open for
 /// many such rounds.
-const USAGE_ROUNDS: u64 = 3;
+pub(super) const USAGE_ROUNDS: u64 = 3;
 
 /// Rounds between two heartbeats to an instance that is silent.
 const PROBE_ROUNDS: u64 = 4;
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod trials;
 mod upstreams;
+mod usage;
 
 use std::time::Duration;
 
--- a/marigoldlock_core/src/gateway/usage.rs
+++ b/marigoldlock_core/src/gateway/usage.rs
@@ -1,13 +1,32 @@
 //! Counts of started requests by usage window, instance and customer.
+//!
+//! Instances tell their counts with their heartbeats, which come the more rarely the larger the fleet is, and not at all from
+//! an instance that is cut off for a while. So the counts of a window are fixed once every instance has told of a later
+//! window, or when the report can't wait any longer.
+
+use std::time::Duration;
 
 use marigoldlock_wire::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use super::call::CustomerCounts;
+use super::exchange::{FleetView, USAGE_ROUNDS, heartbeat_interval};
+use super::members::{MemberStage, MemberState};
+use crate::time::MonoTime;
 
 /// Number of windows that are retained; a window is reported within a few windows of its end.
 const RETAINED_WINDOWS: u64 = 6;
 
+/// Shortest time for which a window stays open after its end: the clocks of instances differ.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Share of the time until a report is due for which it waits for counts. The rest is left for calls that fail.
+const WAIT_SHARE: f64 = 0.7;
+
+/// Heartbeats in addition to [`USAGE_ROUNDS`] within which all instances know a new holder of the duties: its own, those of
+/// two relays, and one that is lost.
+const SPREAD_ROUNDS: u64 = 4;
+
 /// Counts of one instance process in one window.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WindowCounts {
@@ -23,6 +42,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageCounts {
     windows: FastMap<u64, FastMap<Source, CustomerCounts>>,
+    /// Newest window that each instance has told of; its counts of earlier ones are final.
+    told: FastMap<InstanceId, u64>,
+}
+
+/// A window that has ended, and the times by which it is reported.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedWindow {
+    /// Index of the window.
+    pub window: u64,
+    /// Time since its end.
+    pub ended_for: Duration,
+    /// Time after its end at which its report is due.
+    pub due: Duration,
+    /// When this instance took the duties.
+    pub held_since: MonoTime,
+}
+
+impl EndedWindow {
+    /// True if the counts can't be waited for any longer. A new holder of the duties waits until all know it.
+    fn is_last_chance(&self, instances: usize, now: MonoTime) -> bool {
+        let rounds = u32::try_from(USAGE_ROUNDS + SPREAD_ROUNDS).unwrap_or(u32::MAX);
+        let collection = heartbeat_interval(instances) * rounds;
+        self.ended_for >= self.due.mul_f64(WAIT_SHARE).max(SETTLE_TIME)
+            && now.since(self.held_since) >= collection
+    }
 }
 
 impl UsageCounts {
@@ -50,6 +94,42 @@
             let known = counts.entry(customer.clone()).or_default();
             *known = (*known).max(*count);
         }
+        let told = self.told.entry(source.0.clone()).or_default();
+        *told = reported.window.max(*told);
+    }
+
+    /// True if the counts of a window may be fixed: every instance that can have served in it has told all of its counts, or
+    /// the report can't wait. One that has been silent for as long as a report may take isn't waited for.
+    pub fn may_fix(&self, window: EndedWindow, view: &FleetView<'_>) -> bool {
+        if window.ended_for < SETTLE_TIME {
+            return false;
+        }
+        let instances = view.members.all().count() + 1;
+        if window.is_last_chance(instances, view.now) {
+            return true;
+        }
+        let has_told = |member: &MemberState| {
+            let told = self.told.get(&member.card().id);
+            told.is_some_and(|told| *told > window.window)
+        };
+        let is_awaited = |member: &MemberState| {
+            let is_heard = member
+                .reported_at
+                .is_some_and(|at| view.now.since(at) < window.due);
+            is_heard && member.report.stage != MemberStage::Starting
+        };
+        view.members
+            .all()
+            .all(|member| has_told(member) || !is_awaited(member))
+    }
+
+    /// Instances that have not told all of their counts of a window.
+    pub fn missing(&self, window: u64, view: &FleetView<'_>) -> usize {
+        let has_told = |member: &&MemberState| {
+            let told = self.told.get(&member.card().id);
+            told.is_some_and(|told| *told > window)
+        };
+        view.members.all().filter(|member| !has_told(member)).count()
     }
 
     /// Counts of one instance from `window` on, in order of the windows.
