Leave the store to followers while a fleet starts

Each instance that starts takes itself for the only one until it hears another: it polled both streams of the store, and wrote which versions serve alone.

An instance that has heard nobody polls the store only after a second; it has just read everything. Versions are written by an instance that has been up for as long as it takes to find another one dead. A follower waits half a heartbeat interval after changes, at least 150 ms as before: others learn of them with its next heartbeat.

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use marigoldlock_core::gateway::adapter::KeyedRecord;
 use marigoldlock_core::gateway::catalog::CatalogChange;
-use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::exchange::{FleetView, heartbeat_interval};
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::news::MAX_GAPLESS_AGE;
 use marigoldlock_core::gateway::prelude::*;
@@ -31,8 +31,8 @@
 /// Time between two checks of whether this instance should read the store itself.
 const FOLLOWER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay before the next call after changes were read: changes come in groups, and each call is billed.
-const CHANGE_DELAY: Duration = Duration::from_millis(150);
+/// Shortest delay before the next call after changes were read: changes come in groups, and each call is billed.
+const MIN_CHANGE_DELAY: Duration = Duration::from_millis(150);
 
 /// Time between two checks for lapsed entries that have expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -104,7 +104,7 @@
                     gateway.state().upstreams_date.confirm(called_at + waited);
                 }
                 if !listing.records.is_empty() {
-                    tokio::time::sleep(CHANGE_DELAY).await;
+                    tokio::time::sleep(change_delay(gateway)).await;
                 }
             }
             Err(StoreError::Gone(first)) => {
@@ -122,6 +122,13 @@
     }
 }
 
+/// Delay before the next call after changes were read. Others learn of them with the next heartbeat, so that a follower which
+/// reads more often than two times between heartbeats gains nothing for them.
+fn change_delay(gateway: &Gateway) -> Duration {
+    let instances = gateway.state().instances();
+    MIN_CHANGE_DELAY.max(heartbeat_interval(instances) / 2)
+}
+
 /// True if this instance reads the store for the others, or for itself because it does not serve requests
 /// yet.
 fn is_follower(gateway: &Gateway) -> bool {
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -45,6 +45,8 @@
 /// State shared by a gateway's tasks.
 #[derive(Default)]
 pub struct GatewayState {
+    /// When the instance started.
+    started_at: MonoTime,
     /// Lifecycle stage of the instance.
     pub stage: MemberStage,
     /// Settings in force.
@@ -114,6 +116,7 @@
     /// State of an instance that starts now.
     pub fn new(started_at: MonoTime) -> Self {
         Self {
+            started_at,
             budget_start: BudgetStart::new(started_at),
             ..Self::default()
         }
@@ -241,7 +244,13 @@
     /// True if this instance should read the store itself.
     pub fn is_follower(&self, own: &MemberCard, now: MonoTime) -> bool {
         let members = &self.members;
-        self.is_sync_stalled || FleetView { own, members, now }.is_follower()
+        let view = FleetView { own, members, now };
+        self.is_sync_stalled || view.has_had_contact(self.started_at) && view.is_follower()
+    }
+
+    /// True if this instance has been up for long enough to know its rank.
+    pub fn knows_rank(&self, view: &FleetView<'_>) -> bool {
+        view.knows_rank(self.started_at)
     }
 
     /// Time of the store's last recovery as seen by any instance.
--- a/marigoldlock/src/gateway/version_log.rs
+++ b/marigoldlock/src/gateway/version_log.rs
@@ -135,6 +135,6 @@
             now: self.gateway.now(),
         };
         let is_informed = state.upstreams_date.is_within(MAX_NEWS_AGE, view.now);
-        is_informed && state.store.is_reachable() && view.is_first_successor()
+        is_informed && state.knows_rank(&view) && state.store.is_reachable() && view.is_first_successor()
     }
 }
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -53,6 +53,10 @@
 /// further interval of this length.
 const FOLLOWER_RAMP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after its start for which an instance that has heard no other leaves the store to those. It has just read
+/// everything, and heartbeats arrive sooner if there are others.
+const FIRST_CONTACT_TIME: Duration = Duration::from_secs(1);
+
 /// Number of instances, besides the holder of the duties, that keep the usage counts of the whole fleet, so
 /// that the counts survive the loss of the holder.
 const USAGE_REPLICAS: usize = 4;
@@ -176,6 +180,18 @@
             .collect()
     }
 
+    /// True if this instance has heard others, or would have by now.
+    pub fn has_had_contact(&self, started_at: MonoTime) -> bool {
+        let has_heard = self.members.live(self.now).next().is_some();
+        has_heard || self.now.since(started_at) >= FIRST_CONTACT_TIME
+    }
+
+    /// True if this instance has been up for long enough to know its rank. After a start of the whole fleet, each instance
+    /// is the first in rank until it has heard the others.
+    pub fn knows_rank(&self, started_at: MonoTime) -> bool {
+        self.now.since(started_at) >= self.members.liveness_timeout()
+    }
+
     /// True if this instance should read the store itself because too few instances ahead of it in rank have
     /// a recent response.
     pub fn is_follower(&self) -> bool {
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -358,6 +358,38 @@
     assert_eq!(follower_counts[2], 72);
 }
 
+/// All instances of a fleet start at the same time, and each one takes itself for the only follower until it hears others:
+/// at 295 instances that was more than half of a day's calls to the store.
+#[test]
+fn a_fleet_that_starts_leaves_the_store_to_its_followers() {
+    let mut fleet = Fleet::new(295, 5);
+    let started_at = fleet.now;
+    let readers = |fleet: &Fleet| {
+        let reads = |number: &usize| {
+            let view = fleet.view(*number);
+            view.has_had_contact(started_at) && view.is_follower()
+        };
+        (0..295).filter(reads).count()
+    };
+    assert!((0..295).all(|number| fleet.view(number).is_follower()));
+    assert_eq!(readers(&fleet), 0);
+    fleet.steps(DISCOVERY_ROUNDS);
+    let settled = readers(&fleet);
+    assert!((6..=24).contains(&settled), "{settled}");
+}
+
+/// An instance without others still reads the store, and writes what one instance writes.
+#[test]
+fn an_instance_that_hears_nobody_reads_the_store_after_a_second() {
+    let mut fleet = Fleet::new(1, 1);
+    let started_at = fleet.now;
+    fleet.now = started_at + std::time::Duration::from_millis(999);
+    assert!(!fleet.view(0).has_had_contact(started_at) && !fleet.view(0).knows_rank(started_at));
+    fleet.now = started_at + std::time::Duration::from_millis(1_000);
+    assert!(fleet.view(0).has_had_contact(started_at) && fleet.view(0).is_follower());
+    assert!(fleet.view(0).knows_rank(started_at));
+}
+
 #[test]
 fn usage_counts_are_kept_by_the_duty_holder_and_its_successors() {
     let mut fleet = Fleet::new(72, 5);
