Let a large fleet agree on who succeeds the holder of the duties

An instance counted as reaching the store if it had had a response within 1.6 s. Between two heartbeats of a large fleet the news of that alone is 0.7 s old, from another data centre up to 2.2 s, on top of a long poll of 1.2 s.

The age up to which an instance counts as reaching the store grows with the heartbeat interval, by the three hops between data centres, where all have to agree; fleets of up to 40 are as before. Each data centre still takes followers by the shorter age: they bring it news in one hop.

--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -49,6 +49,9 @@
 /// longer than a follower's long poll.
 const MAX_STORE_RESPONSE_AGE: Duration = Duration::from_millis(1_600);
 
+/// Heartbeats that a report takes to reach another data centre: its own and those of two relays.
+const HOPS_BETWEEN_DATA_CENTRES: u32 = 3;
+
 /// While the store responds to no instance, up to twice [`FOLLOWERS`] try it, and as many more for each
 /// further interval of this length.
 const FOLLOWER_RAMP_INTERVAL: Duration = Duration::from_secs(1);
@@ -203,7 +206,7 @@
             newest = newest.max(member.store_response_at());
             if rank(member.card()) < own_rank {
                 ahead += 1;
-                recent += usize::from(self.has_recent_response(member));
+                recent += usize::from(has_response_within(MAX_STORE_RESPONSE_AGE, member, self.now));
             }
         }
         if recent >= FOLLOWERS {
@@ -216,10 +219,12 @@
         newest.is_none() || ahead < FOLLOWERS * 2 * usize::try_from(ramp_steps.max(1)).unwrap_or(usize::MAX)
     }
 
-    fn has_recent_response(&self, member: &MemberState) -> bool {
-        member
-            .store_response_at()
-            .is_some_and(|at| self.now.since(at) < MAX_STORE_RESPONSE_AGE)
+    /// True if an instance reaches the store as far as instances of all data centres can know. Each data centre has followers
+    /// that it knows by fresher news, but all have to agree on who writes for the fleet.
+    fn reaches_store(&self, member: &MemberState) -> bool {
+        let interval = heartbeat_interval(self.members.all().count() + 1);
+        let delay = interval.saturating_sub(MIN_HEARTBEAT_INTERVAL) * HOPS_BETWEEN_DATA_CENTRES;
+        has_response_within(MAX_STORE_RESPONSE_AGE + delay, member, self.now)
     }
 
     /// True if no instance ahead of this one in rank could take the duties now, that is, is ready and reaches
@@ -229,7 +234,7 @@
         !self.members.live(self.now).any(|member| {
             member.report.stage == MemberStage::Ready
                 && rank(member.card()) < own_rank
-                && self.has_recent_response(member)
+                && self.reaches_store(member)
         })
     }
 
@@ -237,7 +242,7 @@
     pub fn archivists(&self, own_reaches_store: bool) -> Vec<&'a MemberCard> {
         let others = self.members.live(self.now);
         let others = others
-            .filter(|member| member.report.stage == MemberStage::Ready && self.has_recent_response(member))
+            .filter(|member| member.report.stage == MemberStage::Ready && self.reaches_store(member))
             .map(MemberState::card);
         let mut cards: Vec<&MemberCard> = others.chain(own_reaches_store.then_some(self.own)).collect();
         cards.sort_by_cached_key(|card| rank(card));
@@ -277,3 +282,9 @@
     hasher.write(card.id.as_str().as_bytes());
     (std::cmp::Reverse(card.weight), hasher.finish(), &card.id)
 }
+fn has_response_within(max_age: Duration, member: &MemberState, now: MonoTime) -> bool {
+    member
+        .store_response_at()
+        .is_some_and(|at| now.since(at) < max_age)
+}
+
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -385,6 +385,29 @@
     let started_at = fleet.now;
     fleet.now = started_at + std::time::Duration::from_millis(999);
     assert!(!fleet.view(0).has_had_contact(started_at) && !fleet.view(0).knows_rank(started_at));
+/// Heartbeats are up to an interval old, those of other data centres up to three, 2.2 s at 295 instances. Several instances
+/// took themselves for the successor of a lost holder of the duties, some of which others had told no usage counts.
+#[test]
+fn a_large_fleet_agrees_on_the_successor_of_a_lost_holder() {
+    let mut fleet = Fleet::new(295, 5);
+    for node in &mut fleet.nodes {
+        // A long poll that has almost ended.
+        node.response_age_ms = Some(1_100);
+    }
+    fleet.steps(DISCOVERY_ROUNDS);
+    // Just before the next round.
+    fleet.now = fleet.now + std::time::Duration::from_millis(700);
+    let successors: Vec<usize> = (0..295)
+        .filter(|number| fleet.view(*number).is_first_successor())
+        .collect();
+    assert_eq!(successors.len(), 1, "{successors:?}");
+    let told = (0..295).filter(|number| *number != successors[0]).all(|number| {
+        let replicas = fleet.view(number).targets(1).usage_replicas;
+        replicas.contains(&fleet.nodes[successors[0]].card.peer)
+    });
+    assert!(told, "all tell the successor their counts");
+}
+
     fleet.now = started_at + std::time::Duration::from_millis(1_000);
     assert!(fleet.view(0).has_had_contact(started_at) && fleet.view(0).is_follower());
     assert!(fleet.view(0).knows_rank(started_at));
