--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -41,6 +41,10 @@
     pub cut_stream_after: Option<usize>,
     /// Resumed streams break off as well.
     pub cuts_resumed_streams: bool,
+    /// Time between two events of a stream, if it is not the usual one.
+    pub event_interval: Option<Duration>,
+    /// Streams send this number of events, then single bytes that complete no event.
+    pub stall_stream_after: Option<usize>,
     /// Answers carry another request's attempt id.
     pub crosses_answers: bool,
     /// Requests run but are refused with 503, without the header that marks them as not executed.
@@ -425,8 +429,17 @@
     };
     // Send each event in its own write, as an engine does. Events written together could all be lost when the
     // stream breaks off.
-    let paced = futures::stream::iter(sent).then(|event| async {
-        tokio::time::sleep(EVENT_INTERVAL).await;
+    let interval = faults.event_interval.unwrap_or(EVENT_INTERVAL);
+    let stalled = faults.stall_stream_after.map(|count| {
+        let bytes = std::iter::repeat_with(|| Ok(Bytes::from_static(b"d")));
+        (count, bytes)
+    });
+    let sent: Box<dyn Iterator<Item = std::io::Result<Bytes>> + Send> = match stalled {
+        Some((count, bytes)) => Box::new(sent.into_iter().take(count).chain(bytes)),
+        None => Box::new(sent.into_iter()),
+    };
+    let paced = futures::stream::iter(sent).then(move |event| async move {
+        tokio::time::sleep(interval).await;
         event
     });
     respond(
