Read the store when the news of upstreams is older than it has to be

A listing older than a long poll and the heartbeats from any follower may take (1.6 s in small fleets, 1.8 s at 72 instances, 3.5 s at 295) is now read from the store by the instance itself, as long as the store responds to others; a store that responds to nobody is left to those whose turn it is. The age is in `upstream chosen` and in a metric, so that the next late send can be traced.

New: an_instance_with_old_news_reads_the_store_itself_while_that_responds_to_others, an_instance_with_old_news_leaves_a_store_that_responds_to_nobody_alone (the mechanism did not exist).

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -60,6 +60,9 @@
             let stream_lifetime = state.stream_lifetime();
             state.origins.expire(stream_lifetime, now);
             drop(state);
+            let news_age = gateway.state().upstreams_date.age(now);
+            metrics::gauge!("gateway_upstreams_news_age_seconds")
+                .set(news_age.map_or(f64::NAN, |age| age.as_secs_f64()));
             for id in expired {
                 log::info!(upstream:% = id; "upstream's entry did not return after the store recovered; dropped");
             }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -245,7 +245,14 @@
     pub fn is_follower(&self, own: &MemberCard, now: MonoTime) -> bool {
         let members = &self.members;
         let view = FleetView { own, members, now };
-        self.is_sync_stalled || view.may_follow(self.started_at) && view.is_follower()
+        self.is_sync_stalled
+            || self.is_left_behind(&view)
+            || view.may_follow(self.started_at) && view.is_follower()
+    }
+
+    /// True if the listing of upstreams is too old, although the store responds to others.
+    fn is_left_behind(&self, view: &FleetView<'_>) -> bool {
+        self.stage == MemberStage::Ready && view.is_left_behind(&self.upstreams_date)
     }
 
     /// True if this instance has been up for long enough to know its rank.
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -208,7 +208,8 @@
         target: DECISION_TARGET,
         request = call.head.attempt_id, upstream:% = entry.id, version:% = entry.version, candidates = candidates.len(),
         unread = uncached, has_memory = has_kv_cache,
-        load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(context.now));
+        load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(context.now)),
+        news_age_ms = state.upstreams_date.age(context.now).map(|age| age.as_millis() as u64);
         "upstream chosen"
     );
     Some((entry.clone(), uncached))
--- a/marigoldlock_core/src/gateway/exchange.rs
+++ b/marigoldlock_core/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use crate::time::MonoTime;
 
 use super::members::{MemberCard, MemberReport, MemberStage, MemberState, MemberTable};
+use super::news::NewsDate;
 
 /// Shortest interval between two heartbeats; load reported to other instances is about this old.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -235,9 +236,26 @@
     /// True if an instance reaches the store as far as instances of all data centres can know. Each data centre has followers
     /// that it knows by fresher news, but all have to agree on who writes for the fleet.
     fn reaches_store(&self, member: &MemberState) -> bool {
+        has_response_within(self.max_news_age(), member, self.now)
+    }
+
+    /// Age that news of the store may have in this fleet: a follower's long poll, and the heartbeats from there.
+    fn max_news_age(&self) -> Duration {
         let interval = heartbeat_interval(self.members.all().count() + 1);
         let delay = interval.saturating_sub(MIN_HEARTBEAT_INTERVAL) * HOPS_BETWEEN_DATA_CENTRES;
-        has_response_within(MAX_STORE_RESPONSE_AGE + delay, member, self.now)
+        MAX_STORE_RESPONSE_AGE + delay
+    }
+
+    /// True if the listing of upstreams is older than it has to be, although the store responds to others: what they have read
+    /// does not get here in time, so this instance has to read the store itself.
+    pub fn is_left_behind(&self, listing: &NewsDate) -> bool {
+        let max_age = self.max_news_age();
+        let is_old = !listing.is_within(max_age, self.now);
+        is_old
+            && self
+                .members
+                .live(self.now)
+                .any(|member| has_response_within(max_age, member, self.now))
     }
 
     /// True if no instance ahead of this one in rank could take the duties now, that is, is ready and reaches
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -7,6 +7,7 @@
 use super::at;
 use crate::gateway::exchange::{FleetView, heartbeat_interval};
 use crate::gateway::members::{MemberCard, MemberReport, MemberStage, MemberTable, ReportPath, StoreContact};
+use crate::gateway::news::NewsDate;
 use crate::time::MonoTime;
 
 fn card(number: usize, data_centres: usize, weight: u32) -> MemberCard {
@@ -408,6 +409,38 @@
     assert!(told, "all tell the successor their counts");
 }
 
+/// A leaving upstream must get no work a few seconds after the store has recorded it, but the news of it does not get to an
+/// instance whose heartbeats from ahead are lost: it has to ask the store itself. Instances behind others kept to what they knew.
+#[test]
+fn an_instance_with_old_news_reads_the_store_itself_while_that_responds_to_others() {
+    for (count, allowed_ms) in [(6, 2_000), (72, 3_000), (295, 4_000)] {
+        let mut fleet = Fleet::new(count, 5);
+        fleet.steps(DISCOVERY_ROUNDS);
+        let mut listing = NewsDate::default();
+        let complete_at = fleet.now;
+        listing.confirm(complete_at);
+        assert!(!fleet.view(count - 1).is_left_behind(&listing), "{count}");
+        // Others go on to be heard, but what they have read is ahead of this instance.
+        while fleet.now.since(complete_at) < std::time::Duration::from_millis(allowed_ms) {
+            fleet.step();
+        }
+        assert!(fleet.view(count - 1).is_left_behind(&listing), "{count}");
+        listing.confirm(fleet.now);
+        assert!(!fleet.view(count - 1).is_left_behind(&listing), "{count}");
+    }
+}
+
+/// While the store responds to nobody, calls to it are left to those whose turn it is.
+#[test]
+fn an_instance_with_old_news_leaves_a_store_that_responds_to_nobody_alone() {
+    let mut fleet = Fleet::new(72, 5);
+    for node in &mut fleet.nodes {
+        node.response_age_ms = None;
+    }
+    fleet.steps(DISCOVERY_ROUNDS * 4);
+    assert!(!fleet.view(71).is_left_behind(&NewsDate::default()));
+}
+
 /// An instance without others still reads the store, and writes what one instance writes.
 #[test]
 fn an_instance_that_hears_nobody_reads_the_store_after_a_second() {
