Report usage without the few that are silent, and in time without any

Instances that are heard are waited for; those that have fallen silent only if they are more than 2 in 100 of the fleet, and not once seven tenths of the time have passed. A new holder whose counts are complete doesn't wait for itself to be known.

New: a_successor_that_all_have_told_reports_without_those_that_are_lost, a_window_does_not_wait_for_a_few_of_hundreds.

--- a/marigoldlock_core/src/gateway/tests/usage.rs
+++ b/marigoldlock_core/src/gateway/tests/usage.rs
@@ -147,6 +147,45 @@
     assert!(small.may_fix(6, 9_000, at(60_800)), "news spreads within 0.7 s");
 }
 
+/// The holder is lost together with others late in the time for a report: those that are left have told its successor already,
+/// and the others are not waited for, else the report comes too late.
+#[test]
+fn a_successor_that_all_have_told_reports_without_those_that_are_lost() {
+    let mut holder = Holder::new(295);
+    holder.held_since = at(68_500);
+    for number in 1..250 {
+        holder.hear(number, MemberStage::Ready, at(69_000));
+        holder.tell(number, 8);
+    }
+    assert!(!holder.may_fix(7, 6_900, at(69_900)), "there is time");
+    assert!(holder.may_fix(7, 7_000, at(70_000)));
+    holder.hear(294, MemberStage::Ready, at(70_000));
+    assert!(
+        !holder.may_fix(7, 7_000, at(70_000)),
+        "it may not know the new holder yet"
+    );
+}
+
+/// One instance of hundreds is lost, as the holder may be next: the window is reported as soon as the others have told.
+#[test]
+fn a_window_does_not_wait_for_a_few_of_hundreds() {
+    let mut holder = Holder::new(295);
+    for number in 1..290 {
+        holder.tell(number, 8);
+        holder.hear(number, MemberStage::Ready, at(66_000));
+    }
+    assert!(!holder.may_fix(7, 2_000, at(64_000)), "they may be heard yet");
+    assert!(holder.may_fix(7, 2_000, at(66_000)));
+    for number in 280..290 {
+        holder.hear(number, MemberStage::Ready, at(60_000));
+        holder.tell(number, 8);
+    }
+    assert!(
+        holder.may_fix(7, 2_000, at(66_000)),
+        "these have told before they fell silent"
+    );
+}
+
 /// Without a request in the current window, an instance tells that the one before is complete all the same.
 #[test]
 fn an_empty_window_completes_the_one_before() {
--- a/marigoldlock_core/src/gateway/usage.rs
+++ b/marigoldlock_core/src/gateway/usage.rs
@@ -23,6 +23,10 @@
 /// Share of the time until a report is due for which it waits for counts. The rest is left for calls that fail.
 const WAIT_SHARE: f64 = 0.7;
 
+/// Share of the instances without whose counts a window may be fixed at once: less than the requests that differ between two
+/// clocks. The holder may be lost while it waits, and a late report is worth less than one that lacks so little.
+const NEGLIGIBLE_SHARE: f64 = 0.02;
+
 /// Heartbeats in addition to [`USAGE_ROUNDS`] within which all instances know a new holder of the duties: its own, those of
 /// two relays, and one that is lost.
 const SPREAD_ROUNDS: u64 = 4;
@@ -60,12 +64,15 @@
 }
 
 impl EndedWindow {
-    /// True if the counts can't be waited for any longer. A new holder of the duties waits until all know it.
-    fn is_last_chance(&self, instances: usize, now: MonoTime) -> bool {
-        let rounds = u32::try_from(USAGE_ROUNDS + SPREAD_ROUNDS).unwrap_or(u32::MAX);
-        let collection = heartbeat_interval(instances) * rounds;
+    /// True if instances that are silent can't be waited for any longer.
+    fn is_urgent(&self) -> bool {
         self.ended_for >= self.due.mul_f64(WAIT_SHARE).max(SETTLE_TIME)
-            && now.since(self.held_since) >= collection
+    }
+
+    /// True if all instances that are heard know the holder of the duties, and have had the time to tell it their counts.
+    fn is_holder_known(&self, instances: usize, now: MonoTime) -> bool {
+        let rounds = u32::try_from(USAGE_ROUNDS + SPREAD_ROUNDS).unwrap_or(u32::MAX);
+        now.since(self.held_since) >= heartbeat_interval(instances) * rounds
     }
 }
 
@@ -98,38 +105,44 @@
         *told = reported.window.max(*told);
     }
 
-    /// True if the counts of a window may be fixed: every instance that can have served in it has told all of its counts, or
-    /// the report can't wait. One that has been silent for as long as a report may take isn't waited for.
+    /// True if the counts of a window may be fixed: every instance that is heard has told all of its counts, and so have those
+    /// that have fallen silent, but for a few, or the report can't wait for them. Those that have been silent for as long as a
+    /// report may take aren't waited for.
     pub fn may_fix(&self, window: EndedWindow, view: &FleetView<'_>) -> bool {
         if window.ended_for < SETTLE_TIME {
             return false;
         }
         let instances = view.members.all().count() + 1;
-        if window.is_last_chance(instances, view.now) {
+        let is_urgent = window.is_urgent();
+        if is_urgent && window.is_holder_known(instances, view.now) {
             return true;
         }
-        let has_told = |member: &MemberState| {
-            let told = self.told.get(&member.card().id);
-            told.is_some_and(|told| *told > window.window)
-        };
-        let is_awaited = |member: &MemberState| {
-            let is_heard = member
-                .reported_at
-                .is_some_and(|at| view.now.since(at) < window.due);
-            is_heard && member.report.stage != MemberStage::Starting
-        };
-        view.members
-            .all()
-            .all(|member| has_told(member) || !is_awaited(member))
+        let liveness_timeout = view.members.liveness_timeout();
+        let mut silent = 0;
+        for member in view.members.all() {
+            let Some(silence) = member.reported_at.map(|at| view.now.since(at)) else {
+                continue;
+            };
+            if self.has_told(member, window.window) || member.report.stage == MemberStage::Starting {
+                continue;
+            }
+            if silence < liveness_timeout {
+                return false;
+            }
+            silent += usize::from(silence < window.due);
+        }
+        is_urgent || silent as f64 <= instances as f64 * NEGLIGIBLE_SHARE
+    }
+
+    fn has_told(&self, member: &MemberState, window: u64) -> bool {
+        let told = self.told.get(&member.card().id);
+        told.is_some_and(|told| *told > window)
     }
 
     /// Instances that have not told all of their counts of a window.
     pub fn missing(&self, window: u64, view: &FleetView<'_>) -> usize {
-        let has_told = |member: &&MemberState| {
-            let told = self.told.get(&member.card().id);
-            told.is_some_and(|told| *told > window)
-        };
-        view.members.all().filter(|member| !has_told(member)).count()
+        let members = view.members.all();
+        members.filter(|member| !self.has_told(member, window)).count()
     }
 
     /// Counts of one instance from `window` on, in order of the windows.
