Keep an adopted version through the first listing

An instance that starts while the store is slow may adopt the version that serves alone before its first complete listing. If another instance brought that listing, the date of the news, which had never been set, counted as too old, and the version was forgotten for a stream's lifetime: after a restart of all, streams of the only version would have been refused. Found by reading; what was never complete hides nothing now. A standstill still forgets at once.

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -51,9 +51,7 @@
             let now = gateway.now();
             let mut state = gateway.state();
             if now.since(std::mem::replace(&mut checked_at, now)) > MAX_GAPLESS_AGE {
-                // Heartbeats that arrive now may have waited in the socket for as long.
-                state.upstreams_date.reset();
-                state.forget_hidden_versions(now);
+                state.handle_standstill(now);
             }
             let expired = state.catalog.expire(now);
             state.update_versions(gateway.parts.is_first_start, now);
--- a/marigoldlock/src/gateway/origin_log.rs
+++ b/marigoldlock/src/gateway/origin_log.rs
@@ -58,7 +58,7 @@
             gateway.state().origins.return_unstored(origins);
             return Err(err);
         }
-        metrics::counter!("gateway_origins_archived").increment(origins.len() as u64);
+        metrics::counter!("gateway_origins_archived_total").increment(origins.len() as u64);
     }
 }
 
@@ -114,7 +114,7 @@
             self.state().upstreams_date.confirm(began_at);
         }
         let outcome = if is_complete { "answered" } else { "failed" };
-        metrics::counter!("gateway_origin_lookups", "outcome" => outcome).increment(1);
+        metrics::counter!("gateway_origin_lookups_total", "outcome" => outcome).increment(1);
         lookup.latest = Some((began_at, is_complete));
         is_complete
     }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -201,9 +201,18 @@
     /// Forgets which versions have served alone if changes may have been missed. What is listed now is read without the
     /// changes that led to it.
     pub fn forget_hidden_versions(&mut self, now: MonoTime) {
-        if !self.upstreams_date.may_hide_changes(now) {
-            return;
+        if self.upstreams_date.may_hide_changes(now) {
+            self.forget_versions(now);
         }
+    }
+
+    /// Forgets what was known after a standstill: heartbeats that arrive now may have waited in the socket for as long.
+    pub fn handle_standstill(&mut self, now: MonoTime) {
+        self.forget_versions(now);
+        self.upstreams_date.reset();
+    }
+
+    fn forget_versions(&mut self, now: MonoTime) {
         let age_ms = self.upstreams_date.age(now).map(|age| age.as_millis() as u64);
         for (service, history) in &mut self.version_histories {
             if let Some(version) = history.settled() {
--- a/marigoldlock_core/src/gateway/news.rs
+++ b/marigoldlock_core/src/gateway/news.rs
@@ -38,8 +38,9 @@
         self.age(now).is_some_and(|age| age <= max_age)
     }
 
-    /// True if the present state may hide changes in the meantime, unless each of them is read.
+    /// True if the present state may hide changes since the news was complete, unless each of them is read. News that never was
+    /// complete hides nothing: nothing rests on it yet.
     pub fn may_hide_changes(&self, now: MonoTime) -> bool {
-        !self.is_within(MAX_GAPLESS_AGE, now)
+        self.age(now).is_some_and(|age| age > MAX_GAPLESS_AGE)
     }
 }
