Let no starting instance date the listing of others

An instance that is added has had responses of the store before it has read the upstreams. Its heartbeat, with offset 0 and a response of some milliseconds ago, made the listing of every other instance look complete, also of one that was behind, so that the bound on the age of news did not hold while instances were added.

Failed before by construction: a_starting_instance_does_not_date_the_listing_of_others.

--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -315,13 +315,8 @@
 
 fn record_report(state: &mut GatewayState, report: MemberReport, path: ReportPath, now: MonoTime) {
     let (id, stage, incarnation) = (report.card.id.clone(), report.stage, report.card.incarnation);
-    // What the sender has read of the upstreams is known here.
-    if report.sync_state.upstreams_offset <= state.upstreams_offset
-        && let Some(age_ms) = report.store.response_age_ms
-    {
-        state
-            .upstreams_date
-            .confirm(now - Duration::from_millis(u64::from(age_ms)));
+    if let Some(age) = report.news_age(state.upstreams_offset) {
+        state.upstreams_date.confirm(now - age);
     }
     if state.members.record_report(report, path, now) {
         state.member_heard_at = Some(now);
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -138,6 +138,17 @@
     }
 }
 
+impl MemberReport {
+    /// Age up to which an instance that has read the upstreams up to `known_offset` knows all of them by this report: that of
+    /// the sender's last response of the store. `None` if the sender knows more, or has not read all of them yet.
+    pub fn news_age(&self, known_offset: u64) -> Option<Duration> {
+        let has_read = self.stage != MemberStage::Starting;
+        let is_covered = has_read && self.sync_state.upstreams_offset <= known_offset;
+        let age_ms = self.store.response_age_ms.filter(|_| is_covered)?;
+        Some(Duration::from_millis(u64::from(age_ms)))
+    }
+}
+
 /// Heartbeat between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -497,6 +497,21 @@
     );
 }
 
+/// Instances that are added have had responses of the store before they have read the upstreams, which made the listing of an
+/// instance that was behind look new.
+#[test]
+fn a_starting_instance_does_not_date_the_listing_of_others() {
+    let fleet = Fleet::new(2, 1);
+    let mut report = fleet.report(1);
+    report.store.response_age_ms = Some(20);
+    report.sync_state.upstreams_offset = 40;
+    assert_eq!(report.news_age(40), Some(std::time::Duration::from_millis(20)));
+    assert_eq!(report.news_age(39), None, "the sender knows more");
+    report.stage = MemberStage::Starting;
+    report.sync_state.upstreams_offset = 0;
+    assert_eq!(report.news_age(40), None);
+}
+
 #[test]
 fn a_forwarded_report_never_replaces_a_newer_one() {
     let mut fleet = Fleet::new(2, 1);
