--- a/marigoldlock/src/gateway/capacity.rs
+++ b/marigoldlock/src/gateway/capacity.rs
@@ -4,18 +4,28 @@
 use std::sync::Arc;
 
 use marigoldlock_core::gateway::adapter::{CapacityOrder, DutyApi, DutyHolder, DutyOutcome};
-use marigoldlock_core::gateway::capacity::{CapacityPlanner, ServingCounts};
+use marigoldlock_core::gateway::capacity::{CapacityChange, CapacityPlanner, ServingCounts};
+use marigoldlock_core::gateway::demand::{
+    DemandFigures, DemandPlanner, DemandView, EngineWork, LoadScale, has_most_reports,
+};
+use marigoldlock_core::gateway::members::MemberStage;
+use marigoldlock_core::gateway::prelude::*;
+use marigoldlock_core::gateway::route::ScalingRule;
+use marigoldlock_core::gateway::state::{UpstreamKey, WorkInFlight};
 use marigoldlock_core::prelude::*;
 use tokio::task::JoinSet;
 
 use crate::logging::DECISION_TARGET;
 
 use super::Gateway;
+use super::state::GatewayState;
 
 /// Plans the capacity of all services and sends the orders.
 #[derive(Debug, Default)]
 pub struct CapacityManager {
     planners: FastMap<ServiceId, CapacityPlanner>,
+    /// Planners that follow the load; they replace the others if a headroom is set.
+    demand_planners: FastMap<ServiceId, DemandPlanner>,
     /// Orders in progress, which may take seconds. They run one after the other.
     calls: JoinSet<DutyOutcome>,
     /// Orders to send once those in progress have ended.
@@ -54,6 +64,15 @@
         true
     }
 
+    /// Ends the planning. Metrics of the load are kept by the holder of the duties only.
+    pub fn close(self) {
+        for (service, planner) in &self.demand_planners {
+            for (data_centre, _) in planner.figures() {
+                set_metrics(service, data_centre, &DemandFigures::default());
+            }
+        }
+    }
+
     fn plan(&mut self, gateway: &Gateway) -> Vec<CapacityOrder> {
         let now = gateway.now();
         let state = gateway.state();
@@ -72,23 +91,125 @@
                     counts.on_demand += 1;
                 }
             }
-            let planner = self.planners.entry(service.name.clone()).or_default();
-            orders.extend(
-                planner
-                    .plan(rule, &serving, now)
-                    .into_iter()
-                    .map(|change| CapacityOrder {
-                        service: service.name.clone(),
-                        data_centre: change.data_centre,
-                        count: change.count,
-                        is_spot: change.is_spot,
-                    }),
-            );
+            let changes = match gateway.parts.capacity_headroom.factor() {
+                None => {
+                    let planner = self.planners.entry(service.name.clone()).or_default();
+                    planner.plan(rule, &serving, now)
+                }
+                Some(headroom) => {
+                    let planner = self.demand_planners.entry(service.name.clone()).or_default();
+                    plan_by_demand(gateway, &state, service, rule, headroom, &serving, planner)
+                }
+            };
+            orders.extend(changes.into_iter().map(|change| CapacityOrder {
+                service: service.name.clone(),
+                data_centre: change.data_centre,
+                count: change.count,
+                is_spot: change.is_spot,
+            }));
         }
         orders
     }
 }
 
+/// Returns the orders that follow the load of a service, from the work that all instances report.
+fn plan_by_demand(
+    gateway: &Gateway,
+    state: &GatewayState,
+    service: &ServiceRule,
+    rule: &ScalingRule,
+    headroom: f64,
+    serving: &FastMap<DataCentre, ServingCounts>,
+    planner: &mut DemandPlanner,
+) -> Vec<CapacityChange> {
+    let now = gateway.now();
+    let own_centre = &gateway.parts.card.data_centre;
+    let entries: FastMap<UpstreamKey, &UpstreamEntry> = state
+        .catalog
+        .entries()
+        .filter(|entry| entry.service == service.name)
+        .map(|entry| (UpstreamKey::from(&entry.id), entry))
+        .collect();
+    let own = entries.values().filter_map(|entry| {
+        Some(EngineWork {
+            origin: own_centre,
+            entry,
+            work: state.upstreams.get(&entry.id)?.own,
+        })
+    });
+    let mut works: Vec<EngineWork<'_>> = own.collect();
+    let mut reporting: FastSet<DataCentre> = FastSet::default();
+    reporting.insert(own_centre.clone());
+    let mut live = 0;
+    for member in state.members.live(now) {
+        live += 1;
+        reporting.insert(member.card().data_centre.clone());
+        works.extend(member.report.work.iter().filter_map(|work| {
+            Some(EngineWork {
+                origin: &member.card().data_centre,
+                entry: entries.get(&work.upstream)?,
+                work: WorkInFlight {
+                    requests: work.requests,
+                    prefill_tokens: work.prefill_tokens,
+                    waiting_tokens: work.waiting_tokens,
+                },
+            })
+        }));
+    }
+    let heard = state
+        .members
+        .all()
+        .filter(|member| member.reported_at.is_some() && member.report.stage != MemberStage::Leaving)
+        .count();
+    let scale = LoadScale {
+        prefill_rate: state
+            .prefill_rates
+            .get(&service.name)
+            .copied()
+            .unwrap_or_default(),
+        target_latency: state
+            .settings
+            .as_ref()
+            .and_then(|settings| settings.shortest_target(&service.name))
+            .unwrap_or_default(),
+        is_engine: service.engine.is_some(),
+    };
+    let load = scale.sample(&works);
+    let is_complete = state.store.is_reachable() && has_most_reports(live, heard);
+    let view = DemandView {
+        serving,
+        load: &load,
+        reporting: &reporting,
+        is_complete,
+    };
+    let changes = planner.plan(rule, headroom, &view, now);
+    for (data_centre, figures) in planner.figures() {
+        set_metrics(&service.name, data_centre, &figures);
+        if changes.iter().any(|change| change.data_centre == *data_centre) {
+            let sample = load.get(data_centre).copied().unwrap_or_default();
+            log::info!(
+                target: DECISION_TARGET,
+                service:% = service.name, data_centre:%, wanted = figures.wanted, required = figures.required,
+                on_demand = figures.on_demand, spot = figures.spot, load = figures.load, peak = figures.peak,
+                prefill = sample.prefill, backlog = sample.backlog, decode = sample.decode,
+                requests = sample.requests, complete = is_complete;
+                "capacity planned"
+            );
+        }
+    }
+    changes
+}
+
+fn set_metrics(service: &ServiceId, data_centre: &DataCentre, figures: &DemandFigures) {
+    let labels = [
+        ("service", service.to_string()),
+        ("data_centre", data_centre.to_string()),
+    ];
+    metrics::gauge!("gateway_capacity_wanted", &labels).set(f64::from(figures.wanted));
+    metrics::gauge!("gateway_capacity_serving", &labels).set(f64::from(figures.on_demand + figures.spot));
+    metrics::gauge!("gateway_capacity_utilisation", &labels).set(figures.utilisation());
+}
+
 async fn send_order(
     gateway: &Gateway,
     duties: &dyn DutyApi,
--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -74,7 +74,7 @@
             // Planners from an earlier term don't know what other holders have ordered since.
             self.planned_fence = fence;
             self.roles = RoleManager::default();
-            self.capacity = CapacityManager::default();
+            std::mem::take(&mut self.capacity).close();
             self.vacant_since = None;
         }
         match (fence, stage) {
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 use marigoldlock_core::gateway::adapter::{DirectoryProtocol, UpstreamOrders};
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::crashes::{BlockChange, CrashTable, FleetTime};
+use marigoldlock_core::gateway::demand::CapacityHeadroom;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
@@ -108,6 +109,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits and durations.
     pub bounds: GatewayBounds,
+    /// Capacity to order, relative to the load.
+    pub capacity_headroom: CapacityHeadroom,
     /// True only when the whole fleet starts for the first time.
     pub is_first_start: bool,
     /// Callers' protocol.
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::budget::BudgetLimits;
+use marigoldlock_core::gateway::demand::CapacityHeadroom;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
     PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
@@ -32,6 +33,10 @@
     /// Port to serve metrics on.
     #[arg(long, env = "MARIGOLDLOCK_METRICS_PORT", default_value_t = 9464)]
     pub metrics_port: u16,
+    /// Upstreams to order, as a multiple of the recent peak of the load: 1.2 to 10, or 0 to order the same number under any
+    /// load.
+    #[arg(long, env = "MARIGOLDLOCK_CAPACITY_HEADROOM", default_value_t = CapacityHeadroom::default())]
+    pub capacity_headroom: CapacityHeadroom,
 }
 
 /// Serves until SIGTERM or SIGINT.
@@ -46,7 +51,11 @@
     let mut hangup = signal(SignalKind::hangup())?;
     crate::metrics::init();
     let metrics = SocketAddr::new(settings.ip, options.metrics_port);
-    let server = GatewayServer::start(gateway_parts(&settings, Some(metrics))?).await?;
+    let parts = GatewayParts {
+        capacity_headroom: options.capacity_headroom,
+        ..gateway_parts(&settings, Some(metrics))?
+    };
+    let server = GatewayServer::start(parts).await?;
     let mut watcher = SettingsFileWatcher::new(options.settings_file, settings);
     let mut reloads = tokio::time::interval(RELOAD_INTERVAL);
     loop {
@@ -157,6 +166,7 @@
             .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port))
             .collect(),
         bounds: gateway_bounds(&settings.bounds),
+        capacity_headroom: CapacityHeadroom::default(),
         is_first_start: settings.is_first_start,
         caller_protocol: Arc::new(PlatformCaller),
         upstream_protocol: Arc::new(PlatformUpstream),
--- a/marigoldlock_core/src/gateway/capacity.rs
+++ b/marigoldlock_core/src/gateway/capacity.rs
@@ -16,13 +16,13 @@
 use super::route::ScalingRule;
 
 /// Price of spot capacity, relative to on-demand capacity, below which it replaces on-demand upstreams.
-const MAX_SPOT_PRICE_RATIO: f64 = 0.5;
+pub(super) const MAX_SPOT_PRICE_RATIO: f64 = 0.5;
 
 /// Time for which spot upstreams must have served before on-demand upstreams are removed.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Time beyond the boot time after which spot upstreams that don't serve are considered unavailable.
-const BOOT_MARGIN: Duration = Duration::from_secs(2);
+pub(super) const BOOT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Divisor of the maximum number of upstreams that gives the number of on-demand upstreams while there are too
 /// few spot upstreams.
@@ -62,7 +62,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct DataCentreState {
+pub(super) struct DataCentreState {
     /// Since when enough spot upstreams have been serving.
     sufficient_since: Option<MonoTime>,
     /// Since when there have been too few.
@@ -122,7 +122,7 @@
 
 /// State of a data centre's spot upstreams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum SpotSupply {
+pub(super) enum SpotSupply {
     /// They were ordered and may still be starting.
     Starting,
     /// Enough have served for [`SETTLE_TIME`].
@@ -132,7 +132,17 @@
 }
 
 impl DataCentreState {
-    fn update_spot_supply(&mut self, is_sufficient: bool, boot: Duration, now: MonoTime) -> SpotSupply {
+    /// True if there were enough spot upstreams at the latest update.
+    pub(super) fn has_enough_spot(&self) -> bool {
+        self.sufficient_since.is_some()
+    }
+
+    pub(super) fn update_spot_supply(
+        &mut self,
+        is_sufficient: bool,
+        boot: Duration,
+        now: MonoTime,
+    ) -> SpotSupply {
         if is_sufficient {
             self.insufficient_since = None;
             let since = *self.sufficient_since.get_or_insert(now);
@@ -150,7 +160,7 @@
         SpotSupply::Starting
     }
 
-    fn push_change(
+    pub(super) fn push_change(
         &mut self,
         data_centre: &DataCentre,
         is_spot: bool,
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod choice;
 pub mod clock;
 pub mod crashes;
+pub mod demand;
 pub mod duty;
 pub mod events;
 pub mod exchange;
--- a/marigoldlock_core/src/gateway/roles.rs
+++ b/marigoldlock_core/src/gateway/roles.rs
@@ -18,7 +18,7 @@
 
 /// Requests in flight per decode engine above which more engines are needed: tokens then arrive at half of
 /// the best rate.
-const MAX_DECODE_REQUESTS: f64 = 28.0;
+pub(super) const MAX_DECODE_REQUESTS: f64 = 28.0;
 
 /// Backlog per prefill engine, in tokens, above which prefill is the bottleneck; about 100 ms of prefill.
 const MAX_PREFILL_QUEUE_TOKENS: f64 = 4_000.0;
--- a/marigoldlock_core/src/gateway/route.rs
+++ b/marigoldlock_core/src/gateway/route.rs
@@ -204,6 +204,15 @@
         timeouts.max().unwrap_or_default()
     }
 
+    /// Shortest latency objective of the routes that a service serves.
+    pub fn shortest_target(&self, service: &ServiceId) -> Option<Duration> {
+        let rules = self.routes.values().flatten();
+        rules
+            .filter(|rule| rule.shares.iter().any(|share| share.service == *service))
+            .map(|rule| rule.target_latency)
+            .min()
+    }
+
     /// Finds a service by name.
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
         self.services.get(name)
