Hold peaks of the load, and test capacity by demand without a network

The first version let a peak decay by a third within one swing, and ordered upstreams back and forth every 11 s (seen by the test of swings over 600 s). A peak is held for 18 s now. Waiting orders for the same upstreams are replaced by the latest, only if a headroom is set.

--- a/marigoldlock/src/gateway/capacity.rs
+++ b/marigoldlock/src/gateway/capacity.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use marigoldlock_core::gateway::adapter::{CapacityOrder, DutyApi, DutyHolder, DutyOutcome};
-use marigoldlock_core::gateway::capacity::{CapacityChange, CapacityPlanner, ServingCounts};
+use marigoldlock_core::gateway::capacity::{CapacityChange, ServingCounts};
 use marigoldlock_core::gateway::demand::{
-    DemandFigures, DemandPlanner, DemandView, EngineWork, LoadScale, has_most_reports,
+    DemandFigures, DemandPlanner, DemandView, EngineWork, LoadSample, LoadScale, has_most_reports,
 };
 use marigoldlock_core::gateway::members::MemberStage;
 use marigoldlock_core::gateway::prelude::*;
@@ -23,9 +23,7 @@
 /// Plans the capacity of all services and sends the orders.
 #[derive(Debug, Default)]
 pub struct CapacityManager {
-    planners: FastMap<ServiceId, CapacityPlanner>,
-    /// Planners that follow the load; they replace the others if a headroom is set.
-    demand_planners: FastMap<ServiceId, DemandPlanner>,
+    planners: FastMap<ServiceId, DemandPlanner>,
     /// Orders in progress, which may take seconds. They run one after the other.
     calls: JoinSet<DutyOutcome>,
     /// Orders to send once those in progress have ended.
@@ -46,6 +44,15 @@
             }
         }
         let orders = self.plan(gateway);
+        if gateway.parts.capacity_headroom.factor().is_some() {
+            // Load may change while an order is in progress; only the latest number is still wanted then.
+            self.waiting.retain(|waiting| {
+                !orders.iter().any(|order| {
+                    (&order.service, &order.data_centre, order.is_spot)
+                        == (&waiting.service, &waiting.data_centre, waiting.is_spot)
+                })
+            });
+        }
         self.waiting.extend(orders);
         if !self.calls.is_empty() || self.waiting.is_empty() {
             return true;
@@ -66,7 +73,7 @@
 
     /// Ends the planning. Metrics of the load are kept by the holder of the duties only.
     pub fn close(self) {
-        for (service, planner) in &self.demand_planners {
+        for (service, planner) in &self.planners {
             for (data_centre, _) in planner.figures() {
                 set_metrics(service, data_centre, &DemandFigures::default());
             }
@@ -74,7 +81,6 @@
     }
 
     fn plan(&mut self, gateway: &Gateway) -> Vec<CapacityOrder> {
-        let now = gateway.now();
         let state = gateway.state();
         let Some(settings) = state.settings.clone() else {
             return Vec::new();
@@ -91,16 +97,8 @@
                     counts.on_demand += 1;
                 }
             }
-            let changes = match gateway.parts.capacity_headroom.factor() {
-                None => {
-                    let planner = self.planners.entry(service.name.clone()).or_default();
-                    planner.plan(rule, &serving, now)
-                }
-                Some(headroom) => {
-                    let planner = self.demand_planners.entry(service.name.clone()).or_default();
-                    plan_by_demand(gateway, &state, service, rule, headroom, &serving, planner)
-                }
-            };
+            let planner = self.planners.entry(service.name.clone()).or_default();
+            let changes = plan_service(gateway, &state, service, rule, &serving, planner);
             orders.extend(changes.into_iter().map(|change| CapacityOrder {
                 service: service.name.clone(),
                 data_centre: change.data_centre,
@@ -112,17 +110,62 @@
     }
 }
 
-/// Returns the orders that follow the load of a service, from the work that all instances report.
-fn plan_by_demand(
+/// Returns the orders that are due for a service.
+fn plan_service(
     gateway: &Gateway,
     state: &GatewayState,
     service: &ServiceRule,
     rule: &ScalingRule,
-    headroom: f64,
     serving: &FastMap<DataCentre, ServingCounts>,
     planner: &mut DemandPlanner,
 ) -> Vec<CapacityChange> {
     let now = gateway.now();
+    let headroom = gateway.parts.capacity_headroom;
+    let load = if headroom.factor().is_some() {
+        measure_load(gateway, state, service, now)
+    } else {
+        MeasuredLoad::default()
+    };
+    let view = DemandView {
+        serving,
+        load: &load.samples,
+        reporting: &load.reporting,
+        is_complete: load.is_complete,
+    };
+    let changes = planner.plan(rule, headroom, &view, now);
+    for (data_centre, figures) in planner.figures() {
+        set_metrics(&service.name, data_centre, &figures);
+        if changes.iter().any(|change| change.data_centre == *data_centre) {
+            let sample = load.samples.get(data_centre).copied().unwrap_or_default();
+            log::info!(
+                target: DECISION_TARGET,
+                service:% = service.name, data_centre:%, wanted = figures.wanted, required = figures.required,
+                on_demand = figures.on_demand, spot = figures.spot, load = figures.load, peak = figures.peak,
+                prefill = sample.prefill, backlog = sample.backlog, decode = sample.decode,
+                requests = sample.requests, complete = load.is_complete;
+                "capacity planned"
+            );
+        }
+    }
+    changes
+}
+
+/// Load of a service, as the instances report it.
+#[derive(Debug, Default)]
+struct MeasuredLoad {
+    samples: FastMap<DataCentre, LoadSample>,
+    /// Data centres whose instances report.
+    reporting: FastSet<DataCentre>,
+    /// False while reports are missing or the store doesn't answer.
+    is_complete: bool,
+}
+
+fn measure_load(
+    gateway: &Gateway,
+    state: &GatewayState,
+    service: &ServiceRule,
+    now: MonoTime,
+) -> MeasuredLoad {
     let own_centre = &gateway.parts.card.data_centre;
     let entries: FastMap<UpstreamKey, &UpstreamEntry> = state
         .catalog
@@ -161,43 +204,20 @@
         .all()
         .filter(|member| member.reported_at.is_some() && member.report.stage != MemberStage::Leaving)
         .count();
+    let rates = &state.prefill_rates;
+    let settings = state.settings.as_ref();
     let scale = LoadScale {
-        prefill_rate: state
-            .prefill_rates
-            .get(&service.name)
-            .copied()
-            .unwrap_or_default(),
-        target_latency: state
-            .settings
-            .as_ref()
+        prefill_rate: rates.get(&service.name).copied().unwrap_or_default(),
+        target_latency: settings
             .and_then(|settings| settings.shortest_target(&service.name))
             .unwrap_or_default(),
         is_engine: service.engine.is_some(),
     };
-    let load = scale.sample(&works);
-    let is_complete = state.store.is_reachable() && has_most_reports(live, heard);
-    let view = DemandView {
-        serving,
-        load: &load,
-        reporting: &reporting,
-        is_complete,
-    };
-    let changes = planner.plan(rule, headroom, &view, now);
-    for (data_centre, figures) in planner.figures() {
-        set_metrics(&service.name, data_centre, &figures);
-        if changes.iter().any(|change| change.data_centre == *data_centre) {
-            let sample = load.get(data_centre).copied().unwrap_or_default();
-            log::info!(
-                target: DECISION_TARGET,
-                service:% = service.name, data_centre:%, wanted = figures.wanted, required = figures.required,
-                on_demand = figures.on_demand, spot = figures.spot, load = figures.load, peak = figures.peak,
-                prefill = sample.prefill, backlog = sample.backlog, decode = sample.decode,
-                requests = sample.requests, complete = is_complete;
-                "capacity planned"
-            );
-        }
+    MeasuredLoad {
+        samples: scale.sample(&works),
+        reporting,
+        is_complete: state.store.is_reachable() && has_most_reports(live, heard),
     }
-    changes
 }
 
 fn set_metrics(service: &ServiceId, data_centre: &DataCentre, figures: &DemandFigures) {
--- a/marigoldlock_core/src/gateway/demand.rs
+++ b/marigoldlock_core/src/gateway/demand.rs
@@ -23,7 +23,8 @@
 
 use super::admission::PrefillRate;
 use super::capacity::{
-    BOOT_MARGIN, CapacityChange, DataCentreState, MAX_SPOT_PRICE_RATIO, ServingCounts, SpotSupply,
+    BOOT_MARGIN, CapacityChange, CapacityPlanner, DataCentreState, MAX_SPOT_PRICE_RATIO, ServingCounts,
+    SpotSupply,
 };
 use super::catalog::{UpstreamEntry, UpstreamRole};
 use super::roles::MAX_DECODE_REQUESTS;
@@ -33,7 +34,14 @@
 /// Time constant of the moving average of the load: longer than the time between reports, shorter than a burst.
 const SMOOTHING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time in which a peak loses half of its weight: longer than the usual period of swings, 11 to 17 s.
+/// Time for which a peak is held: longer than the usual period of swings, 11 to 17 s, so that capacity doesn't follow
+/// each of them.
+const PEAK_HOLD_TIME: Duration = Duration::from_secs(18);
+
+/// Part of a peak that the load must reach to hold it; peaks of the same swing differ a little.
+const PEAK_HOLD_RATIO: f64 = 0.9;
+
+/// Time in which a peak that is no longer held decays to its half.
 const PEAK_HALF_LIFE: Duration = Duration::from_secs(20);
 
 /// Part of the latency objective that callers may wait for prefill before upstreams are added.
@@ -237,6 +245,8 @@
 struct LoadEstimate {
     average: f64,
     peak: f64,
+    /// When the load last reached [`PEAK_HOLD_RATIO`] of the peak.
+    held_at: MonoTime,
     /// Averages of the latest time, oldest first.
     history: VecDeque<(MonoTime, f64)>,
     updated_at: Option<MonoTime>,
@@ -250,8 +260,14 @@
             1.0 - (-elapsed.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp()
         });
         self.average += weight * (sample - self.average);
-        let halvings = elapsed.unwrap_or_default().as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64();
-        self.peak = (self.peak * 0.5_f64.powf(halvings)).max(self.average);
+        if now.since(self.held_at) > PEAK_HOLD_TIME {
+            let halvings = elapsed.unwrap_or_default().as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64();
+            self.peak *= 0.5_f64.powf(halvings);
+        }
+        self.peak = self.peak.max(self.average);
+        if self.average >= self.peak * PEAK_HOLD_RATIO {
+            self.held_at = now;
+        }
         self.history.push_back((now, self.average));
         while self
             .history
@@ -335,6 +351,8 @@
 /// Plans the capacity of one service by its load.
 #[derive(Clone, Debug, Default)]
 pub struct DemandPlanner {
+    /// Plans the same number under any load, if there is no headroom.
+    fixed: CapacityPlanner,
     centres: FastMap<DataCentre, CentrePlan>,
     total: LoadEstimate,
     started_at: Option<MonoTime>,
@@ -348,14 +366,18 @@
 }
 
 impl DemandPlanner {
-    /// Returns the orders to make for capacity of `headroom` times the recent peak.
+    /// Returns the orders to make for capacity of `headroom` times the recent peak; without a headroom, those of
+    /// [`CapacityPlanner`].
     pub fn plan(
         &mut self,
         rule: &ScalingRule,
-        headroom: f64,
+        headroom: CapacityHeadroom,
         view: &DemandView<'_>,
         now: MonoTime,
     ) -> Vec<CapacityChange> {
+        let Some(headroom) = headroom.factor() else {
+            return self.fixed.plan(rule, view.serving, now);
+        };
         let started_at = *self.started_at.get_or_insert(now);
         self.update_load(rule, view, now);
         self.update_serving(rule, view, started_at, now);
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decision logic.
 
+mod capacity_demand;
 mod choice;
 mod crashes;
 mod duty;
