--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decision logic.
 
 mod allowance;
+mod capacity_demand;
 mod choice;
 mod crashes;
 mod duty;
