Tell charges in few bytes, to one relay of each data centre in turn

Change: hashes in place of names, totals are repeated in three rounds in place of two seconds, and a relay tells one relay of each other data centre a round.

--- a/marigoldlock/src/gateway/allowance.rs
+++ b/marigoldlock/src/gateway/allowance.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use marigoldlock_core::gateway::allowance::{AllowanceDecision, ChargeReport};
+use marigoldlock_core::gateway::allowance::{AllowanceDecision, ChargeReport, InstanceKey};
 use marigoldlock_core::gateway::exchange::RoundTargets;
 use marigoldlock_core::gateway::outcome::AttemptFailure;
 use marigoldlock_core::gateway::prelude::*;
@@ -20,7 +20,10 @@
 use super::{Gateway, codec};
 
 /// Rounds of heartbeats between two reports of the totals of all customers; the others name those that changed.
-const COMPLETE_REPORT_ROUNDS: u64 = 20;
+const COMPLETE_REPORT_ROUNDS: u64 = 60;
+
+/// Rounds in a row in which the totals of all customers are told, since datagrams are lost.
+const COMPLETE_REPORT_REPEATS: u64 = 3;
 
 /// Reports in one datagram; a report names tens of customers at most, so that it fits into a few packets.
 const REPORTS_PER_DATAGRAM: usize = 40;
@@ -29,8 +32,10 @@
 pub struct ChargeReports {
     /// For the instances of the same data centre.
     pub for_local: Vec<ChargeReport>,
-    /// For those of other data centres.
+    /// For those of other data centres; empty if this instance is no relay.
     pub for_remote: Vec<ChargeReport>,
+    /// One instance of each other data centre; the rounds take the relays there in turn.
+    pub remote: Vec<SocketAddr>,
 }
 
 impl Gateway {
@@ -51,47 +56,50 @@
         if state.allowances.is_empty() {
             return None;
         }
-        let is_complete = round.is_multiple_of(COMPLETE_REPORT_ROUNDS);
+        let is_relay = targets.is_relay;
+        let is_complete = round % COMPLETE_REPORT_ROUNDS < COMPLETE_REPORT_REPEATS;
         let sequence = state.reports_sent;
         let own = state
             .allowances
             .own_report(&card.id, card.incarnation, sequence, is_complete, now);
         let (mut for_local, mut for_remote) = (vec![own.clone()], vec![own]);
-        if targets.is_relay {
-            let local: FastSet<&InstanceId> = state
+        if is_relay {
+            let local: FastSet<InstanceKey> = state
                 .members
                 .all()
                 .map(|member| member.card())
                 .filter(|member| member.data_centre == card.data_centre)
-                .map(|member| &member.id)
+                .map(|member| InstanceKey::from(&member.id))
                 .collect();
-            let is_local = |id: &InstanceId| local.contains(id);
-            let is_remote = |id: &InstanceId| !local.contains(id);
+            let is_local = |key: InstanceKey| local.contains(&key);
+            let is_remote = |key: InstanceKey| !local.contains(&key);
             for_local.extend(state.allowances.forwarded(is_remote, is_complete, now));
             for_remote.extend(state.allowances.forwarded(is_local, is_complete, now));
         }
         let has_news = |report: &ChargeReport| report.is_complete || !report.totals.is_empty();
         for_local.retain(has_news);
         for_remote.retain(has_news);
+        let remote = state.members.in_turn(&targets.remote, round);
         Some(ChargeReports {
             for_local,
             for_remote,
+            remote,
         })
     }
 
     /// Takes over the totals of other instances.
     pub fn record_charges(&self, reports: &[ChargeReport]) {
         let now = self.now();
-        let own = &self.parts.card.id;
+        let own = InstanceKey::from(&self.parts.card.id);
         let mut state = self.state();
-        for report in reports.iter().filter(|report| report.instance != *own) {
+        for report in reports.iter().filter(|report| report.instance != own) {
             state.allowances.record(report, now);
         }
     }
 }
 
 /// Sends reports of charges to other instances.
-pub async fn send_charges(socket: &UdpSocket, reports: &[ChargeReport], addresses: &FastSet<SocketAddr>) {
+pub async fn send_charges(socket: &UdpSocket, reports: &[ChargeReport], addresses: &[SocketAddr]) {
     for part in reports.chunks(REPORTS_PER_DATAGRAM) {
         let bytes = match codec::encode(&Datagram::<()>::Charges(part.to_vec())) {
             Ok(bytes) => bytes,
--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -142,8 +142,9 @@
         .filter(|address| !remote.contains(address))
         .collect();
     if let Some(charges) = charges {
+        let local: Vec<_> = local.iter().copied().collect();
         send_charges(socket, &charges.for_local, &local).await;
-        send_charges(socket, &charges.for_remote, &remote).await;
+        send_charges(socket, &charges.for_remote, &charges.remote).await;
     }
     let groups = [
         (local, for_local, false),
--- a/marigoldlock_core/src/gateway/allowance.rs
+++ b/marigoldlock_core/src/gateway/allowance.rs
@@ -55,8 +55,9 @@
 /// Time after a standstill in which datagrams that waited in the socket may still arrive.
 const STALE_NEWS_TIME: Duration = Duration::from_millis(200);
 
-/// Time for which a changed total is repeated to others: datagrams are lost.
-const REPEAT_TIME: Duration = Duration::from_secs(2);
+/// Rounds of heartbeats in which a changed total is repeated to others: datagrams are lost, and a round goes to one relay of
+/// each other data centre. More would cost small links more than the heartbeats themselves.
+const REPEAT_ROUNDS: u32 = 3;
 
 /// Silence after which the totals of an instance are forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(60);
@@ -153,18 +154,39 @@
     }
 }
 
-/// Hash of a customer's name, used between instances to save space.
+/// Hash of a customer's name, used between instances to save space. Two customers with the same hash would be refused by
+/// their joint use.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct CustomerKey(u64);
+pub struct CustomerKey(u32);
 
 impl From<&CustomerId> for CustomerKey {
     fn from(id: &CustomerId) -> Self {
-        let mut hasher = FxHasher::default();
-        hasher.write(id.as_str().as_bytes());
-        Self(hasher.finish())
+        Self(short_hash(id.as_str().as_bytes()))
     }
 }
 
+/// Hash of an instance's name, used between instances to save space.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct InstanceKey(u32);
+
+impl From<&InstanceId> for InstanceKey {
+    fn from(id: &InstanceId) -> Self {
+        Self(short_hash(id.as_str().as_bytes()))
+    }
+}
+
+/// Part of an incarnation that tells successive processes of one instance apart.
+fn short_incarnation(incarnation: Incarnation) -> u32 {
+    short_hash(&incarnation.0.to_le_bytes())
+}
+
+fn short_hash(bytes: &[u8]) -> u32 {
+    let mut hasher = FxHasher::default();
+    hasher.write(bytes);
+    let hash = hasher.finish();
+    (hash ^ (hash >> 32)) as u32
+}
+
 /// Units of one customer at one instance since the start of its process.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ChargeTotal {
@@ -178,9 +200,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ChargeReport {
     /// The instance.
-    pub instance: InstanceId,
-    /// Incarnation of its process.
-    pub incarnation: Incarnation,
+    pub instance: InstanceKey,
+    /// Hash of the incarnation of its process.
+    pub incarnation: u32,
     /// Number of the report; a later one replaces an earlier one.
     pub sequence: u64,
     /// True if customers that are not named have totals of zero, otherwise theirs have not changed lately.
@@ -268,7 +290,7 @@
 /// Totals of one instance.
 #[derive(Clone, Debug)]
 struct InstanceTotals {
-    incarnation: Incarnation,
+    incarnation: u32,
     sequence: u64,
     heard_at: MonoTime,
     /// True if it was silent, so that its next totals are not compared with earlier ones.
@@ -279,24 +301,31 @@
 }
 
 impl InstanceTotals {
-    fn report(&self, instance: &InstanceId, is_complete: bool, now: MonoTime) -> ChargeReport {
+    fn report(&self, instance: InstanceKey, is_complete: bool, since: MonoTime) -> ChargeReport {
         let is_complete = is_complete && self.is_complete;
-        let totals = self
-            .totals
-            .iter()
-            .filter(|(_, known)| is_complete || now.since(known.changed_at) < REPEAT_TIME)
-            .map(|(key, known)| (*key, known.total))
-            .collect();
         ChargeReport {
-            instance: instance.clone(),
+            instance,
             incarnation: self.incarnation,
             sequence: self.sequence,
             is_complete,
-            totals,
+            totals: changed_totals(&self.totals, is_complete, since),
         }
     }
 }
 
+/// Totals that have changed since a time, or all.
+fn changed_totals(
+    totals: &FastMap<CustomerKey, KnownTotal>,
+    is_complete: bool,
+    since: MonoTime,
+) -> Vec<(CustomerKey, ChargeTotal)> {
+    totals
+        .iter()
+        .filter(|(_, known)| is_complete || known.changed_at >= since)
+        .map(|(key, known)| (*key, known.total))
+        .collect()
+}
+
 /// Buckets of all customers, and what all instances have charged.
 #[derive(Clone, Debug, Default)]
 pub struct AllowanceTable {
@@ -307,7 +336,7 @@
     /// Until when totals of others may be older than that.
     news_stale_until: MonoTime,
     own: FastMap<CustomerKey, KnownTotal>,
-    peers: FastMap<InstanceId, InstanceTotals>,
+    peers: FastMap<InstanceKey, InstanceTotals>,
     share: FleetShare,
     interval: Duration,
     /// Silence after which another instance is no longer heard.
@@ -474,38 +503,36 @@
         is_complete: bool,
         now: MonoTime,
     ) -> ChargeReport {
-        let totals = self
-            .own
-            .iter()
-            .filter(|(_, known)| is_complete || now.since(known.changed_at) < REPEAT_TIME)
-            .map(|(key, known)| (*key, known.total))
-            .collect();
         ChargeReport {
-            instance: instance.clone(),
-            incarnation,
+            instance: InstanceKey::from(instance),
+            incarnation: short_incarnation(incarnation),
             sequence,
             is_complete,
-            totals,
+            totals: changed_totals(&self.own, is_complete, self.repeated_since(now)),
         }
     }
 
+    fn repeated_since(&self, now: MonoTime) -> MonoTime {
+        now - self.interval * REPEAT_ROUNDS
+    }
+
     /// Totals of other instances that a relay forwards: those of the instances for which `is_forwarded` is true.
     pub fn forwarded(
         &self,
-        is_forwarded: impl Fn(&InstanceId) -> bool,
+        is_forwarded: impl Fn(InstanceKey) -> bool,
         is_complete: bool,
         now: MonoTime,
     ) -> Vec<ChargeReport> {
         self.peers
             .iter()
-            .filter(|(id, peer)| is_forwarded(id) && now.since(peer.heard_at) < self.liveness_timeout)
-            .map(|(id, peer)| peer.report(id, is_complete, now))
+            .filter(|(key, peer)| is_forwarded(**key) && now.since(peer.heard_at) < self.liveness_timeout)
+            .map(|(key, peer)| peer.report(*key, is_complete, self.repeated_since(now)))
             .collect()
     }
 
     /// Records that another instance was heard, whether or not it has told its totals.
     pub fn record_contact(&mut self, instance: &InstanceId, now: MonoTime) {
-        if let Some(peer) = self.peers.get_mut(instance) {
+        if let Some(peer) = self.peers.get_mut(&InstanceKey::from(instance)) {
             peer.was_silent |= now.since(peer.heard_at) >= self.liveness_timeout;
             peer.heard_at = now;
         }
@@ -571,7 +598,7 @@
         peer.heard_at = now;
         peer.was_silent = false;
         peer.is_complete |= report.is_complete;
-        self.peers.insert(report.instance.clone(), peer);
+        self.peers.insert(report.instance, peer);
     }
 
     /// Use of a customer's allowance; `None` if nothing was charged yet.
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -309,6 +309,28 @@
             .filter(move |member| is_live(member, liveness_timeout, now))
     }
 
+    /// One of the addresses in each data centre, another one in each round.
+    pub fn in_turn(&self, addresses: &[SocketAddr], round: u64) -> Vec<SocketAddr> {
+        let mut by_data_centre: FastMap<&DataCentre, Vec<SocketAddr>> = FastMap::default();
+        for member in self.members.values() {
+            let card = member.card();
+            if addresses.contains(&card.peer) {
+                by_data_centre
+                    .entry(&card.data_centre)
+                    .or_default()
+                    .push(card.peer);
+            }
+        }
+        by_data_centre
+            .into_values()
+            .filter_map(|mut peers| {
+                peers.sort_unstable();
+                let turn = usize::try_from(round % peers.len() as u64).ok()?;
+                peers.get(turn).copied()
+            })
+            .collect()
+    }
+
     /// Part of the fleet that this instance hears. It is empty until the instance has read the list of members or heard
     /// another one. Instances that are listed but were never heard count until most of the fleet is.
     pub fn share(&self, has_list: bool, now: MonoTime) -> FleetShare {
--- a/marigoldlock_core/src/gateway/tests/allowance.rs
+++ b/marigoldlock_core/src/gateway/tests/allowance.rs
@@ -14,7 +14,7 @@
 use super::{at, millis, prompt};
 use crate::gateway::allowance::{
     AllowanceBounds, AllowanceDecision, AllowanceError, AllowanceTable, AllowanceUnit, ChargeReport,
-    CustomerAllowance, FleetShare,
+    CustomerAllowance, FleetShare, InstanceKey,
 };
 use crate::gateway::exchange::heartbeat_interval;
 use crate::time::MonoTime;
@@ -213,12 +213,15 @@
             while instance.inbox.front().is_some_and(|(due, _)| *due <= now_ms) {
                 let (_, reports) = instance.inbox.pop_front().unwrap();
                 for report in reports.iter() {
-                    if report.instance == instance.id {
+                    if report.instance == InstanceKey::from(&instance.id) {
                         continue;
                     }
-                    let index = ids.iter().position(|id| *id == report.instance).unwrap();
+                    let index = ids
+                        .iter()
+                        .position(|id| InstanceKey::from(id) == report.instance)
+                        .unwrap();
                     instance.heard[index] = Some(now_ms);
-                    instance.table.record_contact(&report.instance, at(now_ms));
+                    instance.table.record_contact(&ids[index], at(now_ms));
                     instance.table.record(report, at(now_ms));
                 }
             }
@@ -254,7 +257,7 @@
             let now = at(now_ms);
             instance.table.update(share, millis(liveness), BOUNDS, now);
             instance.sequence += 1;
-            let is_complete = instance.sequence % 20 == 1;
+            let is_complete = instance.sequence % 60 < 3;
             let own = instance.table.own_report(
                 &instance.id,
                 instance.incarnation,
@@ -273,15 +276,15 @@
     fn send(&mut self, index: usize, own: &ChargeReport, is_complete: bool, now: MonoTime) {
         let data_centre = |index: usize| index % DATA_CENTRES;
         let is_relay = |index: usize| index / DATA_CENTRES < RELAYS;
-        let local_ids: FastSet<InstanceId> = (0..self.size())
+        let local_ids: FastSet<InstanceKey> = (0..self.size())
             .filter(|other| data_centre(*other) == data_centre(index))
-            .map(|other| self.instances[other].id.clone())
+            .map(|other| InstanceKey::from(&self.instances[other].id))
             .collect();
         let (mut to_local, mut to_remote) = (vec![own.clone()], vec![own.clone()]);
         if is_relay(index) {
             let table = &self.instances[index].table;
-            to_local.extend(table.forwarded(|id| !local_ids.contains(id), is_complete, now));
-            to_remote.extend(table.forwarded(|id| local_ids.contains(id), is_complete, now));
+            to_local.extend(table.forwarded(|key| !local_ids.contains(&key), is_complete, now));
+            to_remote.extend(table.forwarded(|key| local_ids.contains(&key), is_complete, now));
         }
         let due = self.now_ms + DELAY_MS;
         let (to_local, to_remote) = (Rc::new(to_local), Rc::new(to_remote));
@@ -292,7 +295,7 @@
             }
             if data_centre(other) == data_centre(index) {
                 self.instances[other].inbox.push_back((due, Rc::clone(&to_local)));
-            } else if is_relay(index) && is_relay(other) {
+            } else if is_relay(index) && other / DATA_CENTRES == (own.sequence as usize + index) % RELAYS {
                 self.instances[other]
                     .inbox
                     .push_back((due, Rc::clone(&to_remote)));
