Bound what a backlog of prefill calls for, and take no growth for a loss of spot upstreams

Change: a backlog counts as at most 1.5 times the engines that prefill now; after growth, spot upstreams count as starting.

--- a/marigoldlock_core/src/gateway/capacity.rs
+++ b/marigoldlock_core/src/gateway/capacity.rs
@@ -137,6 +137,13 @@
         self.sufficient_since.is_some()
     }
 
+    /// Counts spot upstreams as starting again, since more were ordered.
+    pub(super) fn restart_spot_supply(&mut self) {
+        self.sufficient_since = None;
+        self.insufficient_since = None;
+        self.was_sufficient = false;
+    }
+
     pub(super) fn update_spot_supply(
         &mut self,
         is_sufficient: bool,
--- a/marigoldlock_core/src/gateway/demand.rs
+++ b/marigoldlock_core/src/gateway/demand.rs
@@ -51,6 +51,10 @@
 /// seen.
 const MIN_ACCEPTABLE_WAIT: Duration = Duration::from_millis(50);
 
+/// Largest number of engines that a backlog counts as, as a multiple of those that prefill now. The rate is learned from the
+/// first prompts, which meet empty caches; without a bound they called for hundreds of engines.
+const MAX_BACKLOG_FACTOR: f64 = 1.5;
+
 /// Time from the start of a planner until its first order, so that it has seen all upstreams that serve.
 const FIRST_ORDER_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -148,7 +152,8 @@
 impl LoadSample {
     /// Number of engines.
     pub fn engines(&self) -> f64 {
-        self.prefill.max(self.backlog) + self.decode
+        let backlog = self.backlog.min(self.prefill * MAX_BACKLOG_FACTOR);
+        self.prefill.max(backlog) + self.decode
     }
 }
 
@@ -299,6 +304,8 @@
     first_spot: u32,
     /// Upstreams wanted.
     wanted: u32,
+    /// Upstreams wanted when the orders were last made.
+    ordered: u32,
     required: u32,
     counts: ServingCounts,
     /// True once upstreams have been seen there; only then can upstreams be ordered.
@@ -578,6 +585,10 @@
                 continue;
             }
             let spot = centre.wanted - with_spot;
+            // Upstreams that were just added have not been lost.
+            if std::mem::replace(&mut centre.ordered, centre.wanted) < centre.wanted {
+                centre.orders.restart_spot_supply();
+            }
             // Spot upstreams that restart one by one are not a loss.
             let enough = if centre.orders.has_enough_spot() {
                 spot / 2
