--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod duty;
 mod exchange;
+mod intake;
 mod load;
 mod members;
 mod news;
