Charge and time what clients hold of an instance

Any number of connections was kept, heads that had begun were awaited for three idle timeouts (HeaderTimeoutMs was decoded but not used), bodies were read without a deadline before the request was admitted, each tiny chunk kept a buffer of its own, and responses piled up for clients that pipeline and don't read.

Connections of all addresses are admitted by the ledger in the core, heads and unread responses have their own timers, a body is charged before it is read and copied together, and at most 16 requests in succession are taken ahead. hyper's timeout still covers idle connections. GatewayParts has the machine's size.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::blame::SuspectKey;
 use marigoldlock_core::gateway::choice::{ChoiceContext, pick_plain};
@@ -22,6 +21,7 @@
 
 use super::Gateway;
 use super::attempt::AttemptPlan;
+use super::intake::{self, BodyFailure, BodyLimits, ByteCharge};
 use super::response::{ResponseBody, close_if_leaving, full_body, refuse};
 use super::stream;
 use super::work::WorkGuard;
@@ -78,6 +78,8 @@
     is_counted: bool,
     /// True while the request is sent as a trial of what blocks it.
     pub is_trial: bool,
+    /// What the request holds of the process.
+    _charge: ByteCharge,
 }
 
 /// Who sent a request to this instance.
@@ -121,24 +123,22 @@
             );
         }
     }
-    let body = match Limited::new(body, settings.limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            return refuse(
-                &gateway,
-                &head,
-                Some(&route.name),
-                Refusal::new(RefusalCause::BodyTooLarge),
-            );
-        }
-        Err(err) => {
-            log::info!(request = head.attempt_id, error:% = err; "the caller's request body can't be read; request refused");
-            return refuse(
-                &gateway,
-                &head,
-                Some(&route.name),
-                Refusal::new(RefusalCause::Malformed),
-            );
+    let mut timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    if let RequestSender::Instance(time_left) = received_from {
+        timeout = timeout.min(time_left);
+    }
+    let limits = BodyLimits {
+        max_bytes: settings.limits.body_bytes,
+        window: settings.limits.header_timeout,
+        timeout,
+    };
+    let (body, charge) = match intake::receive(&parts, body, limits).await {
+        Ok(received) => received,
+        Err(failure) => {
+            if let BodyFailure::Broken(err) = &failure {
+                log::info!(request = head.attempt_id, error:% = err; "the caller's request body can't be read; request refused");
+            }
+            return refuse(&gateway, &head, Some(&route.name), body_refusal(&failure));
         }
     };
     let Some(service) = route.service(rand::rng().random()).cloned() else {
@@ -149,10 +149,6 @@
             Refusal::new(RefusalCause::NoUpstream),
         );
     };
-    let mut timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-    if let RequestSender::Instance(time_left) = received_from {
-        timeout = timeout.min(time_left);
-    }
     let engine = settings
         .service(service.as_str())
         .and_then(|rule| rule.engine.as_ref());
@@ -186,6 +182,7 @@
         received_from,
         is_counted: false,
         is_trial: false,
+        _charge: charge,
         route,
     };
     if call.gateway.is_cut_off()
@@ -204,6 +201,16 @@
     }
 }
 
+/// Refusal of a request whose body was not read; nothing was sent.
+fn body_refusal(failure: &BodyFailure) -> Refusal {
+    match failure {
+        BodyFailure::TooLarge => Refusal::new(RefusalCause::BodyTooLarge),
+        BodyFailure::NoRoom => Refusal::new(RefusalCause::Busy).retry_after(RETRY_AFTER),
+        BodyFailure::TimedOut => Refusal::new(RefusalCause::TooLate).retry_after(RETRY_AFTER),
+        BodyFailure::Broken(_) => Refusal::new(RefusalCause::Malformed),
+    }
+}
+
 /// Properties of a request that may make it crash upstreams.
 fn suspect_keys(digest: u64, prompt: Option<&PromptShape>) -> Vec<SuspectKey> {
     let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
@@ -475,6 +482,7 @@
 
     fn deliver(&self, response: Response<Bytes>) -> Response<ResponseBody> {
         self.log_done("answered", response.status());
+        let response = response.map(|body| intake::charge_arrived(&self.parts, body));
         close_if_leaving(&self.gateway, response.map(full_body))
     }
 
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod forward;
 mod heartbeats;
+mod intake;
 mod listener;
 mod origin_log;
 mod origins;
@@ -45,6 +46,7 @@
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::crashes::{BlockChange, CrashTable, FleetTime};
 use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::intake::{ClientKind, IntakeLimits, MachineSize};
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
@@ -57,7 +59,7 @@
 use crate::clock::TimeSource;
 
 use connections::ConnectionPool;
-use listener::ListenerKind;
+use intake::IntakeControl;
 use origin_log::LookupState;
 use state::GatewayState;
 
@@ -108,6 +110,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits and durations.
     pub bounds: GatewayBounds,
+    /// Size of the machine.
+    pub machine: MachineSize,
     /// True only when the whole fleet starts for the first time.
     pub is_first_start: bool,
     /// Callers' protocol.
@@ -145,6 +149,8 @@
     origins_changed: Notify,
     /// What the store has been asked about streams.
     lookup: tokio::sync::Mutex<LookupState>,
+    /// Clients' connections, and what they hold.
+    intake: Arc<IntakeControl>,
     /// Tasks of callers' connections and streams.
     tracker: TaskTracker,
     /// Cancelled when callers' listeners and connections shut down.
@@ -239,6 +245,10 @@
             origins_pending: Notify::new(),
             origins_changed: Notify::new(),
             lookup: tokio::sync::Mutex::default(),
+            intake: Arc::new(IntakeControl::new(
+                IntakeLimits::for_machine(parts.machine),
+                Arc::clone(&parts.clock),
+            )),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
             killed: CancellationToken::new(),
@@ -362,7 +372,7 @@
 }
 
 struct Listeners {
-    streams: Vec<(TcpListener, ListenerKind)>,
+    streams: Vec<(TcpListener, ClientKind)>,
     datagrams: UdpSocket,
 }
 
@@ -377,22 +387,22 @@
             Ok(())
         };
         let addresses = &mut parts.addresses;
-        open(&mut addresses.readiness, ListenerKind::Instance).await?;
+        open(&mut addresses.readiness, ClientKind::Instance).await?;
         match &mut addresses.directory {
-            Some(address) if *address != addresses.readiness => open(address, ListenerKind::Instance).await?,
+            Some(address) if *address != addresses.readiness => open(address, ClientKind::Instance).await?,
             _ => {}
         }
         if let Some(address) = &mut addresses.metrics {
-            open(address, ListenerKind::Metrics).await?;
+            open(address, ClientKind::Metrics).await?;
         }
         let published = parts.card.peer;
         let is_own = published == addresses.peer;
-        open(&mut addresses.peer, ListenerKind::Peer).await?;
+        open(&mut addresses.peer, ClientKind::Peer).await?;
         let peer = addresses.peer;
         let datagrams = UdpSocket::bind(peer)
             .await
             .wrap_err_with(|| format!("bind {peer}"))?;
-        open(&mut addresses.front, ListenerKind::Callers).await?;
+        open(&mut addresses.front, ClientKind::Caller).await?;
         parts.card.peer = if is_own { peer } else { published };
         parts.card.front = addresses.front;
         Ok(Self { streams, datagrams })
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -1,11 +1,16 @@
-//! Tests of the follower cursor, message encoding and heartbeat splitting.
+//! Tests of the follower cursor, message encoding, heartbeat splitting and clients' streams.
 
+use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 use marigoldlock_core::gateway::blame::{CrashRecord, SuspectKey};
 use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, FleetTime, ReportScope};
+use marigoldlock_core::gateway::intake::{ClientKind, IntakeLimits, MachineSize};
 use marigoldlock_core::gateway::members::{Heartbeat, MemberCard, MemberReport, MemberStage};
 use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::gateway::usage::WindowCounts;
@@ -15,6 +20,8 @@
 use super::crash_log::{block_key, parse_block};
 use super::cursor::{FollowCursor, NextCall, poll_wait};
 use super::heartbeats::{Datagram, encode_datagrams};
+use super::intake::{ClientStream, IntakeControl, StreamTimeouts};
+use crate::clock::BootClock;
 
 const WAIT: Duration = Duration::from_secs(10);
 
@@ -210,3 +217,73 @@
         "its key does not belong to its suspects"
     );
 }
+
+/// Returns a stream of an admitted client with short timeouts, and the client's end.
+async fn client_stream() -> (ClientStream, TcpStream) {
+    let limits = IntakeLimits::for_machine(MachineSize {
+        memory_bytes: 120_000_000,
+        descriptors: 3_075,
+    });
+    let control = Arc::new(IntakeControl::new(limits, Arc::new(BootClock)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (stream, address) = listener.accept().await.unwrap();
+    let connection = control.admit(ClientKind::Caller, address.ip()).await.unwrap();
+    let timeouts = StreamTimeouts {
+        head: Duration::from_millis(150),
+        read: Duration::from_millis(300),
+    };
+    (ClientStream::new(stream, connection, timeouts), client)
+}
+
+/// Guards against responses that are kept for a client that has stopped to read.
+#[tokio::test]
+async fn a_client_that_does_not_read_is_closed() {
+    let (mut stream, _client) = client_stream().await;
+    let content = vec![0; 32 << 20];
+    let written = stream.write_all(&content);
+    let result = tokio::time::timeout(Duration::from_secs(10), written)
+        .await
+        .unwrap();
+    assert_eq!(result.unwrap_err().kind(), ErrorKind::TimedOut);
+}
+
+/// Guards against closing a client that reads slowly but goes on.
+#[tokio::test]
+async fn a_client_that_reads_in_pauses_gets_the_whole_response() {
+    let (mut stream, mut client) = client_stream().await;
+    let size = 12 << 20;
+    let reading = tokio::spawn(async move {
+        let mut buffer = vec![0; 1 << 20];
+        let mut read = 0;
+        while read < size {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            read += client.read(&mut buffer).await.unwrap();
+        }
+        read
+    });
+    stream.write_all(&vec![0; size]).await.unwrap();
+    assert_eq!(reading.await.unwrap(), size);
+}
+
+/// Guards against a head that trickles in and restarts its timeout with each byte.
+#[tokio::test]
+async fn a_trickling_head_is_closed_at_its_deadline() {
+    let (mut stream, mut client) = client_stream().await;
+    let sending = tokio::spawn(async move {
+        while client.write_all(b"a").await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let started = Instant::now();
+    let mut buffer = [0; 16];
+    let end = loop {
+        if let Err(err) = stream.read(&mut buffer).await {
+            break err;
+        }
+    };
+    assert_eq!(end.kind(), ErrorKind::TimedOut);
+    assert!(started.elapsed() < Duration::from_secs(2));
+    drop(stream);
+    sending.await.unwrap();
+}
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::budget::BudgetLimits;
+use marigoldlock_core::gateway::intake::MachineSize;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
     PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
@@ -157,6 +158,10 @@
             .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port))
             .collect(),
         bounds: gateway_bounds(&settings.bounds),
+        machine: MachineSize {
+            memory_bytes: settings.memory_bytes,
+            descriptors: settings.descriptors,
+        },
         is_first_start: settings.is_first_start,
         caller_protocol: Arc::new(PlatformCaller),
         upstream_protocol: Arc::new(PlatformUpstream),
