--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -6,7 +6,7 @@
 
 use axum::Router;
 use axum::body::{Body, Bytes};
-use axum::extract::{Request, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, HeaderValue, Response, StatusCode};
 use futures::StreamExt as _;
 use serde_json::{Value, json};
@@ -171,7 +171,10 @@
                 crash_switch,
             });
             started = Some(Arc::clone(&state));
-            Router::new().fallback(serve).with_state(state)
+            Router::new()
+                .fallback(serve)
+                .layer(DefaultBodyLimit::disable())
+                .with_state(state)
         })
         .await?;
         let state = started.ok_or_else(|| std::io::Error::other("the server has no state"))?;
@@ -258,7 +261,7 @@
 
 async fn serve(State(state): State<Arc<UpstreamState>>, request: Request) -> Response<Body> {
     let (parts, body) = request.into_parts();
-    let body = axum::body::to_bytes(body, 1 << 20).await.unwrap_or_default();
+    let body = axum::body::to_bytes(body, 8 << 20).await.unwrap_or_default();
     let expected = text(&parts.headers, "expect-instance");
     if expected.is_some_and(|expected| expected != state.options.id) {
         return respond(
