--- a/marigoldlock/src/gateway/connections.rs
+++ b/marigoldlock/src/gateway/connections.rs
@@ -37,6 +37,10 @@
 /// stream after two seconds.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Largest read buffer of a connection, and largest response head, in bytes. hyper's default of 408 KB for each running stream
+/// would exceed the memory of the smallest machine.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Handle to send requests on one connection.
 pub type HttpSender = SendRequest<Full<Bytes>>;
 
@@ -122,7 +126,9 @@
     if let Err(err) = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)) {
         log::debug!(error:% = err; "setting the TCP user timeout failed");
     }
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(std::io::Error::other)?;
     tokio::spawn(async move {
