--- a/marigoldlock/tests/platform_clients.rs
+++ b/marigoldlock/tests/platform_clients.rs
@@ -14,6 +14,8 @@
     DutyStandin, FRONT_PORT, READINESS_PORT, SITE_HOST, SITE_KEY, SiteCaller, StoreStandin, UpstreamOptions,
     UpstreamStandin, instance_file_at, site_settings,
 };
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -434,3 +436,77 @@
         Ok(count) => panic!("the silent connection got {count} bytes"),
     }
 }
+
+/// Pieces of which the malformed requests are made.
+const PIECES: [&str; 24] = [
+    "GET /look/x HTTP/1.1\r\n",
+    "POST /book/x HTTP/1.1\r\n",
+    "POST /draft/x HTTP/1.0\r\n",
+    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    "Host: site.example\r\n",
+    "Authorization: Bearer key-acme\r\n",
+    "Attempt-Id: malformed\r\n",
+    "Content-Length: 5\r\n",
+    "Content-Length: -1\r\n",
+    "Content-Length: 99999999999999999999\r\n",
+    "Content-Length: 4194305\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Expect: 100-continue\r\n",
+    "Connection: close\r\n",
+    "Deadline-Ms: 300\r\n",
+    "\r\n",
+    "\r\n",
+    "5\r\nhello\r\n",
+    "0\r\n\r\n",
+    "ffffffffffffffff\r\n",
+    "5;extension=\r\n",
+    "\0\u{7f}: \n",
+    "hello",
+];
+
+/// Guards against requests whose head, length or chunks are invalid and that end the process or keep a connection open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_requests_are_answered_or_closed() {
+    const SEED: u64 = 20_261_205;
+    const REQUESTS: usize = 400;
+    let mut instance = SmallInstance::start().await;
+    let mut random = StdRng::seed_from_u64(SEED);
+    let ports = [FRONT_PORT, READINESS_PORT, METRICS_PORT, PEER_PORT];
+    let requests: Vec<(SocketAddr, String)> = (0..REQUESTS)
+        .map(|number| {
+            let pieces =
+                (0..random.random_range(1..12)).map(|_| PIECES[random.random_range(0..PIECES.len())]);
+            // Half of the requests begin as valid ones do.
+            let start = if number % 2 == 0 {
+                [PIECES[1], PIECES[4], PIECES[5]].concat()
+            } else {
+                String::new()
+            };
+            let content = start + &pieces.collect::<Vec<_>>().concat();
+            (instance.at(ports[number % ports.len()]), content)
+        })
+        .collect();
+    let results = requests.iter().map(|(address, content)| async move {
+        let mut stream = send(*address, content.as_bytes()).await.unwrap();
+        let (response, is_closed) = read_all(&mut stream, Duration::from_millis(4_500)).await;
+        is_closed || response.starts_with("HTTP/1.")
+    });
+    let open: Vec<_> = join_all(results)
+        .await
+        .into_iter()
+        .zip(&requests)
+        .filter(|(is_over, _)| !is_over)
+        .collect();
+    assert!(
+        open.is_empty(),
+        "seed {SEED}: neither answered nor closed: {open:?}"
+    );
+    let caller = SiteCaller::new().unwrap();
+    let answer = caller
+        .send(instance.at(FRONT_PORT), "/book/x", "after")
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), 200);
+    instance.assert_within_limits("malformed requests").await;
+}
