--- a/marigoldlock_core/src/gateway/tests/intake.rs
+++ b/marigoldlock_core/src/gateway/tests/intake.rs
@@ -200,6 +200,62 @@
     );
 }
 
+/// Guards against responses that aren't counted because they can't be refused.
+#[test]
+fn arrived_responses_count_beyond_the_pool_and_drop_unfinished_transfers() {
+    let mut ledger = ledger();
+    let pool = limits(120, 3_075).pool_bytes;
+    let stalled = admit(&mut ledger, client(1), at(0));
+    ledger.set_phase(stalled, ConnectionPhase::Body, at(0));
+    assert_eq!(
+        ledger.charge(stalled, pool / 2, ByteClass::Large, at(0)),
+        IntakeDecision::Granted(())
+    );
+    let running = admit(&mut ledger, client(2), at(1_000));
+    ledger.set_phase(running, ConnectionPhase::Running, at(1_000));
+    assert_eq!(ledger.charge_arrived(running, pool / 2, at(1_000)), [stalled]);
+    assert!(ledger.used_bytes() > pool);
+    assert_eq!(
+        ledger.charge(running, REQUEST_BYTES, ByteClass::Small, at(1_000)),
+        IntakeDecision::Wait,
+        "the dropped transfer still holds its bytes"
+    );
+    ledger.release(stalled, pool / 2);
+    ledger.remove(stalled);
+    assert_eq!(
+        ledger.charge(running, REQUEST_BYTES, ByteClass::Small, at(1_000)),
+        IntakeDecision::Granted(())
+    );
+}
+
+/// Guards against dropping a caller that reads slowly while stalled requests are there.
+#[test]
+fn unread_responses_are_dropped_after_stalled_requests_and_before_idle_connections() {
+    let mut ledger = ledger();
+    let phases = [
+        ConnectionPhase::Idle,
+        ConnectionPhase::Unread,
+        ConnectionPhase::Head,
+    ];
+    let first: Vec<ConnectionId> = phases
+        .iter()
+        .map(|phase| {
+            let id = admit(&mut ledger, client(1), at(0));
+            ledger.set_phase(id, *phase, at(0));
+            id
+        })
+        .collect();
+    for _ in phases.len()..limits(120, 3_075).caller_connections {
+        let id = admit(&mut ledger, client(1), at(0));
+        ledger.set_phase(id, ConnectionPhase::Running, at(0));
+    }
+    for expected in first.into_iter().rev() {
+        let (id, dropped) = admit_dropping(&mut ledger, client(1), at(5_000));
+        ledger.set_phase(id, ConnectionPhase::Running, at(5_000));
+        assert_eq!(dropped, [expected]);
+    }
+}
+
 /// Guards against a transfer that goes on for ever with a few bytes now and then.
 #[test]
 fn a_transfer_needs_a_minimum_of_bytes_in_each_window() {
