--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -10,6 +10,7 @@
 use marigoldlock_core::gateway::allowance::AllowanceBounds;
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::demand::CapacityHeadroom;
+use marigoldlock_core::gateway::intake::MachineSize;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
     PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
@@ -173,6 +174,10 @@
             .collect(),
         bounds: gateway_bounds(&settings.bounds),
         capacity_headroom: CapacityHeadroom::default(),
+        machine: MachineSize {
+            memory_bytes: settings.memory_bytes,
+            descriptors: settings.descriptors,
+        },
         is_first_start: settings.is_first_start,
         caller_protocol: Arc::new(PlatformCaller),
         upstream_protocol: Arc::new(PlatformUpstream),
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod duty;
 pub mod events;
 pub mod exchange;
+pub mod intake;
 pub mod members;
 pub mod news;
 pub mod origins;
