Decide when a slow request gets a second attempt

Change: gateway::hedge learns latencies by route and size class, counts hedges against a share of the instance's own requests in a window of 60 s, and checks the conditions of a hedge. Nothing uses it yet. A load report up to 4 s old may prevent a hedge; it never permits one.

--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod duty;
 pub mod events;
 pub mod exchange;
+pub mod hedge;
 pub mod members;
 pub mod news;
 pub mod origins;
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -201,11 +201,14 @@
     /// Requests that run or wait at the upstream: those known to be in flight, or the number in a recent load
     /// report if that is higher.
     pub fn requests(&self, now: MonoTime) -> u32 {
+        self.highest_requests(now, MAX_REPORT_AGE)
+    }
+
+    /// The same with a load report that is younger than `max_age`.
+    pub fn highest_requests(&self, now: MonoTime, max_age: Duration) -> u32 {
         let in_flight = self.own.requests + self.peers.requests;
         match self.report {
-            Some((report, at)) if now.since(at) < MAX_REPORT_AGE => {
-                in_flight.max(report.running + report.waiting)
-            }
+            Some((report, at)) if now.since(at) < max_age => in_flight.max(report.running + report.waiting),
             _ => in_flight,
         }
     }
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod duty;
 mod exchange;
+mod hedge;
 mod load;
 mod members;
 mod news;
