Tell a growing queue from a few requests at an idle service

Change: load counts as a queue from a fifth of the service's slots on, and the load before needs three samples.

--- a/marigoldlock_core/src/gateway/hedge.rs
+++ b/marigoldlock_core/src/gateway/hedge.rs
@@ -69,8 +69,9 @@
 /// Time between two samples of a service's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time whose load is compared with that before it; a request that is slow for another reason takes less.
-const RECENT_LOAD: Duration = Duration::from_millis(500);
+/// Time whose load is compared with that before it. With 500 ms, 18 hedges were sent in the first 300 ms after all
+/// upstreams of a simulated service had become slow.
+const RECENT_LOAD: Duration = Duration::from_millis(150);
 
 /// Time for which samples of the load are kept.
 const LOAD_HISTORY: Duration = Duration::from_millis(2_500);
@@ -81,6 +82,22 @@
 /// Smallest difference that counts as growth, in requests: fewer may be chance.
 const MIN_GROWTH_REQUESTS: f64 = 2.0;
 
+/// Fewest samples of the load before; single ones follow chance.
+const MIN_LOAD_SAMPLES: usize = 3;
+
+/// Share of a service's slots below which its upstreams have no queues. Without this limit, two requests more at an
+/// idle service counted as growth.
+const MIN_QUEUE_LOAD: f64 = 0.2;
+
+/// Requests that run or wait at the upstreams of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceLoad {
+    /// Requests at all of them.
+    pub requests: u32,
+    /// Requests that they run concurrently.
+    pub slots: u32,
+}
+
 /// Hedges per own request; 0 sends none.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq)]
 pub struct HedgeShare(f64);
@@ -267,16 +284,16 @@
     }
 }
 
-/// Recent load of one service: requests that run or wait at its upstreams.
+/// Recent load of one service.
 #[derive(Clone, Debug, Default)]
 struct LoadTrend {
-    samples: VecDeque<(MonoTime, u32)>,
+    samples: VecDeque<(MonoTime, ServiceLoad)>,
 }
 
 impl LoadTrend {
-    fn record(&mut self, requests: u32, now: MonoTime) {
+    fn record(&mut self, load: ServiceLoad, now: MonoTime) {
         self.samples.retain(|(at, _)| now.since(*at) <= LOAD_HISTORY);
-        self.samples.push_back((now, requests));
+        self.samples.push_back((now, load));
     }
 
     fn is_due(&self, now: MonoTime) -> bool {
@@ -291,14 +308,17 @@
             .iter()
             .filter(|(at, _)| now.since(*at) <= LOAD_HISTORY)
             .partition(|(at, _)| now.since(*at) <= RECENT_LOAD);
-        let mean = |samples: &[(MonoTime, u32)]| {
-            let sum: f64 = samples.iter().map(|(_, requests)| f64::from(*requests)).sum();
-            (!samples.is_empty()).then(|| sum / samples.len() as f64)
+        let mean = |samples: &[(MonoTime, ServiceLoad)], min_samples: usize| {
+            let sum: f64 = samples.iter().map(|(_, load)| f64::from(load.requests)).sum();
+            (samples.len() >= min_samples).then(|| sum / samples.len() as f64)
         };
-        let (Some(recent), Some(before)) = (mean(&recent), mean(&before)) else {
+        let slots = self.samples.back().map_or(0, |(_, load)| load.slots);
+        let (Some(recent), Some(before)) = (mean(&recent, 1), mean(&before, MIN_LOAD_SAMPLES)) else {
             return false;
         };
-        recent > before * GROWTH_RATIO && recent - before >= MIN_GROWTH_REQUESTS
+        recent >= f64::from(slots) * MIN_QUEUE_LOAD
+            && recent > before * GROWTH_RATIO
+            && recent - before >= MIN_GROWTH_REQUESTS
     }
 }
 
@@ -420,12 +440,9 @@
         self.trends.get(service).is_none_or(|trend| trend.is_due(now))
     }
 
-    /// Records how many requests run or wait at the service's upstreams.
-    pub fn record_load(&mut self, service: &ServiceId, requests: u32, now: MonoTime) {
-        self.trends
-            .entry(service.clone())
-            .or_default()
-            .record(requests, now);
+    /// Records the service's load.
+    pub fn record_load(&mut self, service: &ServiceId, load: ServiceLoad, now: MonoTime) {
+        self.trends.entry(service.clone()).or_default().record(load, now);
     }
 
     /// Records the latency of a request's first attempt. For an attempt that was given up it is the time that it had
--- a/marigoldlock_core/src/gateway/tests/hedge.rs
+++ b/marigoldlock_core/src/gateway/tests/hedge.rs
@@ -9,7 +9,7 @@
 use crate::gateway::catalog::{UpstreamEntry, UpstreamRole};
 use crate::gateway::choice::{Candidate, ChoiceContext, pick_plain};
 use crate::gateway::hedge::{
-    HedgeDenial, HedgeGrant, HedgeQuery, HedgeShare, HedgeState, LatencyEstimate, SizeClass,
+    HedgeDenial, HedgeGrant, HedgeQuery, HedgeShare, HedgeState, LatencyEstimate, ServiceLoad, SizeClass,
 };
 use crate::gateway::outcome::{AttemptHistory, SendPhase};
 use crate::gateway::route::CallKind;
@@ -323,22 +323,24 @@
     assert!(!attempts.may_send(CallKind::Idempotent, MAX_ATTEMPTS));
 }
 
-/// Guards against hedges that add load when the upstreams can't keep up; a single burst of a few requests is no sign.
+/// Guards against hedges that add load when the upstreams can't keep up, and against a few requests at an idle service
+/// that counted as a growing queue.
 #[test]
 fn growing_queues_prevent_hedges() {
     let upstreams = upstreams(6);
-    let loads = |recent: u32| {
+    let loads = |before: u32, recent: u32| {
         let mut state = state_with_requests(1_000);
         for time in (0..2_500).step_by(100) {
-            let requests = if time > 2_000 { recent } else { 6 };
-            state.record_load(&service(), requests, at(time));
+            let requests = if time > 2_000 { recent } else { before };
+            state.record_load(&service(), ServiceLoad { requests, slots: 18 }, at(time));
         }
         ask(&mut state, Some(&upstreams[1]), at(2_450), |_| {})
     };
-    assert_eq!(loads(6), Ok(()));
-    assert_eq!(loads(7), Ok(()));
-    assert_eq!(loads(3), Ok(()));
-    assert_eq!(loads(12), Err(HedgeDenial::QueuesGrow));
+    assert_eq!(loads(6, 6), Ok(()));
+    assert_eq!(loads(6, 7), Ok(()));
+    assert_eq!(loads(6, 3), Ok(()));
+    assert_eq!(loads(0, 3), Ok(()));
+    assert_eq!(loads(6, 12), Err(HedgeDenial::QueuesGrow));
 }
 
 /// An attempt of the simulated instance.
@@ -430,9 +432,12 @@
                     lost.extend(self.loses_cancellations.then_some(loser));
                 }
             }
-            let in_flight = upstreams.iter().map(|(_, upstream)| upstream.requests(now)).sum();
+            let load = ServiceLoad {
+                requests: upstreams.iter().map(|(_, upstream)| upstream.requests(now)).sum(),
+                slots: 36,
+            };
             if state.is_load_due(&service, now) {
-                state.record_load(&service, in_flight, now);
+                state.record_load(&service, load, now);
             }
             let starts = time % SIM_GAP_MS == 0 && time < SIM_MS;
             let hedged: Vec<usize> = (0..due.len())
