Send a second attempt of slow idempotent requests

The first complete response is used; the other attempt is dropped with its connection and work count, and no failure is recorded. With share 0, serve_plain takes the same path as before. Streams are not hedged. The stand-in of an upstream records cancelled requests.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -100,17 +100,30 @@
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         self.sent_at = self.gateway.now();
-        let result = if self.start_request(entry, &permit) {
-            self.send_permitted(entry, &permit, plan).await
-        } else {
-            Err(AttemptFailure::Limited)
-        };
+        let result = self.send_with_permit(entry, &permit, plan).await;
         if result.as_ref().is_err_and(|failure| failure.is_unsent()) {
             self.attempts.release(permit);
         }
         result
     }
 
+    /// The same with a permit that the caller of this function releases if nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of failure if there is no usable response.
+    pub async fn send_with_permit(
+        &self,
+        entry: &UpstreamEntry,
+        permit: &SendPermit,
+        plan: &AttemptPlan,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        if !self.start_request(entry, permit) {
+            return Err(AttemptFailure::Limited);
+        }
+        self.send_permitted(entry, permit, plan).await
+    }
+
     /// Counts the request against the upstream's rate limit, if it states one; returns false if that doesn't allow the
     /// request now.
     fn start_request(&self, entry: &UpstreamEntry, permit: &SendPermit) -> bool {
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -257,6 +257,9 @@
             .entry(self.service.clone())
             .or_default()
             .count_request(now, &limits);
+        if !self.gateway.parts.hedge_share.is_off() {
+            state.hedges.count_request(&self.service, now);
+        }
     }
 
     /// Consumes a retry from the service's budget if it allows one.
@@ -282,15 +285,20 @@
 
     /// Returns the permission to send to one more upstream. If that is a retry, it is consumed from the budget.
     pub fn permit(&mut self, phase: SendPhase) -> Option<SendPermit> {
+        let mut attempts = self.attempts;
+        let permit = self.permit_from(&mut attempts, phase);
+        self.attempts = attempts;
+        permit
+    }
+
+    /// The same for a copy of the attempts, while another attempt is running.
+    pub fn permit_from(&self, attempts: &mut AttemptHistory, phase: SendPhase) -> Option<SendPermit> {
         if self.time_left().is_zero() || self.block_left().is_some() || self.should_forward() {
             return None;
         }
-        let mut attempts = self.attempts;
-        let permit = attempts.permit(phase, self.route.kind, self.route.max_attempts, || {
+        attempts.permit(phase, self.route.kind, self.route.max_attempts, || {
             self.try_retry()
-        });
-        self.attempts = attempts;
-        permit
+        })
     }
 
     /// Counts the request as started, once, for its customer's usage.
@@ -409,6 +417,11 @@
         self.tried.push(entry.id.clone());
         // A trial is sent once.
         self.is_trial &= failure.is_unsent();
+        self.report_failure(entry, failure, self.sent_at);
+    }
+
+    /// Records the failure of an attempt that was sent at a time for its upstream, and logs it.
+    pub fn report_failure(&self, entry: &UpstreamEntry, failure: AttemptFailure, sent_at: MonoTime) {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
         let upstream = state.upstream(&entry.id);
@@ -432,7 +445,7 @@
         );
         metrics::counter!("gateway_attempt_failures_total", "failure" => failure.as_str()).increment(1);
         if failure == AttemptFailure::Broken {
-            self.check_crash(entry);
+            self.check_crash(entry, sent_at);
         }
     }
 
@@ -449,9 +462,14 @@
                 timeout =
                     timeout.min(MIN_ATTEMPT_TIMEOUT.max(self.route.target_latency * ATTEMPT_TIMEOUT_FACTOR));
             }
-            let guard = WorkGuard::new(&self.gateway, &entry.id, 0);
-            let result = self.exchange(&entry, permit, timeout).await;
-            drop(guard);
+            let (entry, result) = if self.may_hedge() {
+                self.exchange_hedged(entry, permit, timeout).await
+            } else {
+                let guard = WorkGuard::new(&self.gateway, &entry.id, 0);
+                let result = self.exchange(&entry, permit, timeout).await;
+                drop(guard);
+                (entry, result)
+            };
             match result {
                 Ok(response) if response.status() == StatusCode::INTERNAL_SERVER_ERROR => {
                     self.count_started();
--- a/marigoldlock/src/gateway/crash_check.rs
+++ b/marigoldlock/src/gateway/crash_check.rs
@@ -44,12 +44,12 @@
 }
 
 impl Call {
-    /// Checks whether the upstream has crashed under this request.
-    pub fn check_crash(&self, entry: &UpstreamEntry) {
+    /// Checks whether the upstream has crashed under this request, which was sent to it at `sent_at`.
+    pub fn check_crash(&self, entry: &UpstreamEntry, sent_at: MonoTime) {
         let attempt = BrokenAttempt {
             request: self.head.attempt_id.clone(),
             suspects: self.suspects.clone(),
-            sent_at: self.sent_at,
+            sent_at,
             broken_at: self.gateway.now(),
         };
         let mut state = self.gateway.state();
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod forward;
 mod heartbeats;
+mod hedge;
 mod listener;
 mod origin_log;
 mod origins;
@@ -45,6 +46,7 @@
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::crashes::{BlockChange, CrashTable, FleetTime};
 use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
@@ -108,6 +110,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits and durations.
     pub bounds: GatewayBounds,
+    /// Hedged requests as a share of the instance's own requests.
+    pub hedge_share: HedgeShare,
     /// True only when the whole fleet starts for the first time.
     pub is_first_start: bool,
     /// Callers' protocol.
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use marigoldlock_core::gateway::crashes::CrashTable;
 use marigoldlock_core::gateway::duty::DutyState;
 use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::hedge::HedgeState;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage, MemberTable, SyncState};
 use marigoldlock_core::gateway::news::NewsDate;
 use marigoldlock_core::gateway::origins::{OriginTable, StreamKey, VersionHistory};
@@ -89,6 +90,8 @@
     pub budget_start: BudgetStart,
     /// Retry budget of each service.
     pub retry_budgets: FastMap<ServiceId, RetryBudget>,
+    /// Latencies and budgets of hedged requests.
+    pub hedges: HedgeState,
     /// Estimate of the current time.
     pub fleet_clock: FleetClock,
     /// Usage counts of all instances.
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use eyre::{Result, WrapErr};
 use marigoldlock_core::gateway::budget::BudgetLimits;
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
     PlatformCaller, PlatformDirectory, PlatformDuties, PlatformOrders, PlatformRecords, PlatformStore,
@@ -32,6 +33,9 @@
     /// Port to serve metrics on.
     #[arg(long, env = "MARIGOLDLOCK_METRICS_PORT", default_value_t = 9464)]
     pub metrics_port: u16,
+    /// Share of requests that are sent to a second upstream when the first is slow, 0 to 0.2; 0 sends none.
+    #[arg(long, env = "MARIGOLDLOCK_HEDGE_SHARE", default_value_t = HedgeShare::OFF, allow_negative_numbers = true)]
+    pub hedge_share: HedgeShare,
 }
 
 /// Serves until SIGTERM or SIGINT.
@@ -46,7 +50,11 @@
     let mut hangup = signal(SignalKind::hangup())?;
     crate::metrics::init();
     let metrics = SocketAddr::new(settings.ip, options.metrics_port);
-    let server = GatewayServer::start(gateway_parts(&settings, Some(metrics))?).await?;
+    let parts = GatewayParts {
+        hedge_share: options.hedge_share,
+        ..gateway_parts(&settings, Some(metrics))?
+    };
+    let server = GatewayServer::start(parts).await?;
     let mut watcher = SettingsFileWatcher::new(options.settings_file, settings);
     let mut reloads = tokio::time::interval(RELOAD_INTERVAL);
     loop {
@@ -124,7 +132,7 @@
     }
 }
 
-/// Assembles a gateway from the settings and the platform's adapters.
+/// Assembles a gateway from the settings and the platform's adapters, without what flags enable.
 ///
 /// # Errors
 ///
@@ -157,6 +165,7 @@
             .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port))
             .collect(),
         bounds: gateway_bounds(&settings.bounds),
+        hedge_share: HedgeShare::OFF,
         is_first_start: settings.is_first_start,
         caller_protocol: Arc::new(PlatformCaller),
         upstream_protocol: Arc::new(PlatformUpstream),
--- a/marigoldlock_fleet/src/site.rs
+++ b/marigoldlock_fleet/src/site.rs
@@ -9,6 +9,7 @@
 use marigoldlock::gateway::{GatewayParts, GatewayServer};
 use marigoldlock::platform_run::gateway_parts;
 use marigoldlock_core::gateway::adapter::FormatError;
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
 use marigoldlock_platform::ProcessSettings;
@@ -192,6 +193,19 @@
         Ok(links)
     }
 
+    /// Starts one more instance that sends hedged requests, as if it were the first of its fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be started or isn't ready in time.
+    pub async fn start_hedging_instance(&mut self, number: usize, hedge_share: HedgeShare) -> Result<()> {
+        let parts = GatewayParts {
+            hedge_share,
+            ..self.instance_parts(number, true).await?
+        };
+        self.start_parts(parts).await
+    }
+
     /// Starts one more instance that can be cut off from what the other instances send.
     ///
     /// # Errors
--- a/marigoldlock_standin/src/site/upstream.rs
+++ b/marigoldlock_standin/src/site/upstream.rs
@@ -129,9 +129,32 @@
     runs: Mutex<Vec<RunRecord>>,
     orders: Mutex<Vec<Value>>,
     crashes: Mutex<Vec<Instant>>,
+    /// Requests whose connection was closed before the answer.
+    cancelled: Mutex<Vec<String>>,
     crash_switch: CrashSwitch,
 }
 
+/// Records a request as cancelled if it is dropped before its answer.
+struct CancelRecorder<'a> {
+    state: &'a UpstreamState,
+    attempt: Option<String>,
+}
+
+impl CancelRecorder<'_> {
+    /// Ends the watch, since the request is answered.
+    fn close(mut self) {
+        self.attempt = None;
+    }
+}
+
+impl Drop for CancelRecorder<'_> {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            lock(&self.state.cancelled).push(attempt);
+        }
+    }
+}
+
 impl UpstreamState {
     fn crash(&self, plan: CrashPlan) {
         lock(&self.crashes).push(Instant::now());
@@ -168,6 +191,7 @@
                 runs: Mutex::default(),
                 orders: Mutex::default(),
                 crashes: Mutex::default(),
+                cancelled: Mutex::default(),
                 crash_switch,
             });
             started = Some(Arc::clone(&state));
@@ -234,6 +258,11 @@
         lock(&self.state.crashes).clone()
     }
 
+    /// Attempts whose connection was closed before the answer, in order.
+    pub fn cancelled(&self) -> Vec<String> {
+        lock(&self.state.cancelled).clone()
+    }
+
     /// Orders that were accepted.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.state.orders).clone()
@@ -361,6 +390,10 @@
         return refusal;
     }
     let last_event = text(headers, "last-event-id").and_then(|id| id.parse().ok());
+    let recorder = CancelRecorder {
+        state,
+        attempt: Some(attempt.clone()),
+    };
     lock(&state.runs).push(RunRecord {
         attempt,
         tenant: text(headers, "tenant").map(str::to_owned),
@@ -373,6 +406,7 @@
         body,
     });
     tokio::time::sleep(faults.delay).await;
+    recorder.close();
     if !is_prefill && faults.crashes_under(headers, path) {
         state.crash(CrashPlan {
             downtime: faults.downtime,
