--- a/marigoldlock/src/gateway/allowance.rs
+++ b/marigoldlock/src/gateway/allowance.rs
@@ -4,10 +4,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use marigoldlock_core::gateway::allowance::{AllowanceDecision, ChargeReport, InstanceKey};
 use marigoldlock_core::gateway::exchange::RoundTargets;
-use marigoldlock_core::gateway::outcome::AttemptFailure;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
 use rand::Rng;
@@ -122,32 +122,27 @@
     gateway: Arc<Gateway>,
     customer: CustomerId,
     cost: u64,
-    may_have_run: bool,
+    /// Runs that have taken place or may have, or are being sent; each is charged.
+    runs: AtomicU32,
 }
 
 impl AllowanceGuard {
-    /// Counts a run that is about to be sent; one that follows a run is charged once more.
-    pub fn start_run(&mut self) {
-        if std::mem::replace(&mut self.may_have_run, true) {
+    /// Counts a run that is about to be sent. Each run beyond the first is charged once more.
+    pub fn start_run(&self) {
+        if self.runs.fetch_add(1, Ordering::Relaxed) > 0 {
             let now = self.gateway.now();
             let mut state = self.gateway.state();
             state.allowances.charge_again(&self.customer, self.cost, now);
         }
     }
 
-    /// Records that the run that was counted last has not taken place.
-    pub fn cancel_run(&mut self, was_run_before: bool) {
-        self.may_have_run = was_run_before;
-        if was_run_before {
+    /// Takes back a run that has certainly not taken place.
+    pub fn cancel_run(&self) {
+        if self.runs.fetch_sub(1, Ordering::Relaxed) > 1 {
             self.release();
         }
     }
 
-    /// True if the request has been sent to an upstream that may have run it.
-    pub fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
     fn release(&self) {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
@@ -157,7 +152,7 @@
 
 impl Drop for AllowanceGuard {
     fn drop(&mut self) {
-        if !self.may_have_run {
+        if *self.runs.get_mut() == 0 {
             self.release();
         }
     }
@@ -188,7 +183,7 @@
                     gateway: Arc::clone(&self.gateway),
                     customer: owner.customer.clone(),
                     cost,
-                    may_have_run: false,
+                    runs: AtomicU32::new(0),
                 });
                 metrics::counter!("gateway_allowance_requests_total", "outcome" => "admitted").increment(1);
                 Ok(())
@@ -206,23 +201,4 @@
             }
         }
     }
-
-    /// Counts a run for the customer's allowance; returns whether one was counted before.
-    pub fn start_charged_run(&mut self) -> bool {
-        let Some(guard) = &mut self.allowance else {
-            return false;
-        };
-        let was_run_before = guard.may_have_run();
-        guard.start_run();
-        was_run_before
-    }
-
-    /// Hands back the charge of a run that has certainly not taken place.
-    pub fn cancel_charged_run(&mut self, failure: AttemptFailure, was_run_before: bool) {
-        if !failure.may_have_run()
-            && let Some(guard) = &mut self.allowance
-        {
-            guard.cancel_run(was_run_before);
-        }
-    }
 }
--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -100,20 +100,38 @@
         plan: &AttemptPlan,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         self.sent_at = self.gateway.now();
-        let is_run = permit.phase() == SendPhase::Run;
-        let was_run_before = is_run && self.start_charged_run();
-        let result = if self.start_request(entry, &permit) {
-            self.send_permitted(entry, &permit, plan).await
-        } else {
-            Err(AttemptFailure::Limited)
-        };
+        let result = self.send_with_permit(entry, &permit, plan).await;
         if result.as_ref().is_err_and(|failure| failure.is_unsent()) {
             self.attempts.release(permit);
         }
-        if let Err(failure) = &result
-            && is_run
+        result
+    }
+
+    /// The same with a permit that the caller of this function releases if nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of failure if there is no usable response.
+    pub async fn send_with_permit(
+        &self,
+        entry: &UpstreamEntry,
+        permit: &SendPermit,
+        plan: &AttemptPlan,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        if !self.start_request(entry, permit) {
+            return Err(AttemptFailure::Limited);
+        }
+        if permit.phase() != SendPhase::Run {
+            return self.send_permitted(entry, permit, plan).await;
+        }
+        if let Some(charge) = &self.allowance {
+            charge.start_run();
+        }
+        let result = self.send_permitted(entry, permit, plan).await;
+        if let (Err(failure), Some(charge)) = (&result, &self.allowance)
+            && !failure.may_have_run()
         {
-            self.cancel_charged_run(*failure, was_run_before);
+            charge.cancel_run();
         }
         result
     }
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod follow;
 mod forward;
 mod heartbeats;
+mod hedge;
 mod intake;
 mod listener;
 mod origin_log;
@@ -49,6 +50,7 @@
 use marigoldlock_core::gateway::crashes::{BlockChange, CrashTable, FleetTime};
 use marigoldlock_core::gateway::demand::CapacityHeadroom;
 use marigoldlock_core::gateway::exchange::FleetView;
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::intake::{ClientKind, IntakeLimits, MachineSize};
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
@@ -119,6 +121,8 @@
     pub capacity_headroom: CapacityHeadroom,
     /// Size of the machine.
     pub machine: MachineSize,
+    /// Hedged requests as a share of the instance's own requests.
+    pub hedge_share: HedgeShare,
     /// True only when the whole fleet starts for the first time.
     pub is_first_start: bool,
     /// Callers' protocol.
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -10,6 +10,7 @@
 use marigoldlock_core::gateway::allowance::AllowanceBounds;
 use marigoldlock_core::gateway::budget::BudgetLimits;
 use marigoldlock_core::gateway::demand::CapacityHeadroom;
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::intake::MachineSize;
 use marigoldlock_core::gateway::members::MemberCard;
 use marigoldlock_platform::{
@@ -39,6 +40,9 @@
     /// load.
     #[arg(long, env = "MARIGOLDLOCK_CAPACITY_HEADROOM", default_value_t = CapacityHeadroom::default())]
     pub capacity_headroom: CapacityHeadroom,
+    /// Share of requests that are sent to a second upstream when the first is slow, 0 to 0.2; 0 sends none.
+    #[arg(long, env = "MARIGOLDLOCK_HEDGE_SHARE", default_value_t = HedgeShare::OFF, allow_negative_numbers = true)]
+    pub hedge_share: HedgeShare,
 }
 
 /// Serves until SIGTERM or SIGINT.
@@ -55,6 +59,7 @@
     let metrics = SocketAddr::new(settings.ip, options.metrics_port);
     let parts = GatewayParts {
         capacity_headroom: options.capacity_headroom,
+        hedge_share: options.hedge_share,
         ..gateway_parts(&settings, Some(metrics))?
     };
     let server = GatewayServer::start(parts).await?;
@@ -140,7 +145,7 @@
     }
 }
 
-/// Assembles a gateway from the settings and the platform's adapters.
+/// Assembles a gateway from the settings and the platform's adapters, without what flags enable.
 ///
 /// # Errors
 ///
@@ -178,6 +183,7 @@
             memory_bytes: settings.memory_bytes,
             descriptors: settings.descriptors,
         },
+        hedge_share: HedgeShare::OFF,
         is_first_start: settings.is_first_start,
         caller_protocol: Arc::new(PlatformCaller),
         upstream_protocol: Arc::new(PlatformUpstream),
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod duty;
 mod exchange;
+mod hedge;
 mod intake;
 mod load;
 mod members;
