Limit the size of a read response of the stand-in store

The platform's store returns at most 1 MB of records per read; the stand-in returned a whole topic, so that code which reads only once passed all tests.

--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -22,6 +22,10 @@
 /// Maximum number of items on a page of a listing; small, so that listings have several pages.
 const MAX_PAGE_ITEMS: usize = 3;
 
+/// Maximum size of the records in the response to a read, in bytes, unless the first record is larger. The platform's store
+/// has the same limit.
+const MAX_READ_BYTES: usize = 1_000_000;
+
 /// Faults of the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreFaults {
@@ -363,7 +367,12 @@
     }
     let skipped = usize::try_from(query.from - topic.first).unwrap_or(usize::MAX);
     let mut body = offsets(topic.end(), topic.first);
+    let mut read_bytes = 0;
     for record in topic.records.iter().skip(skipped) {
+        if read_bytes > 0 && read_bytes + record.len() > MAX_READ_BYTES {
+            break;
+        }
+        read_bytes += record.len();
         body.extend_from_slice(&u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
         body.extend_from_slice(record);
     }
