Read the upstreams to their end before a version counts as alone

Cause: the lookup read the stream of upstreams once, but a read of the store returns at most 1 MB. An instance that lacked more took up a stream at the version that was alone in the first part. Change: read on until the end of the stream as of the first response; KeyedListing carries that end.

--- a/marigoldlock/src/gateway/origin_log.rs
+++ b/marigoldlock/src/gateway/origin_log.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldlock_core::gateway::adapter::FormatError;
 use marigoldlock_core::gateway::origins::StreamOrigin;
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
@@ -121,20 +122,30 @@
 
     async fn read_store(&self, next_offset: &mut u64) -> Result<(), StoreError> {
         self.read_origins(next_offset).await?;
-        // Each record in between is applied in turn, so a version that came and went is seen as well.
-        let offset = self.state().upstreams_offset;
+        self.read_upstreams().await
+    }
+
+    /// Reads the upstreams up to the end that their stream had when the first response was sent.
+    async fn read_upstreams(&self) -> Result<(), StoreError> {
         let store = &self.parts.store;
-        let listing = store
-            .follow(StoreStream::Upstreams, offset, Duration::ZERO)
-            .await?;
-        apply_records(
-            self,
-            StoreStream::Upstreams,
-            &listing.records,
-            listing.next_offset,
-            false,
-        );
-        Ok(())
+        let mut offset = self.state().upstreams_offset;
+        let mut end = None;
+        loop {
+            let listing = store
+                .follow(StoreStream::Upstreams, offset, Duration::ZERO)
+                .await?;
+            let next_offset = listing.next_offset;
+            // Each record in between is applied in turn, so a version that came and went is seen as well.
+            apply_records(self, StoreStream::Upstreams, &listing.records, next_offset, false);
+            if next_offset >= *end.get_or_insert(listing.end_offset) {
+                return Ok(());
+            }
+            if next_offset <= offset {
+                let reason = "no records before the end of the stream";
+                return Err(StoreError::Format(FormatError::new("store response", reason)));
+            }
+            offset = next_offset;
+        }
     }
 
     async fn read_origins(&self, next_offset: &mut u64) -> Result<(), StoreError> {
--- a/marigoldlock/tests/platform_versions.rs
+++ b/marigoldlock/tests/platform_versions.rs
@@ -372,3 +372,45 @@
         assert_eq!(site.runs_of(&format!("{attempt}-again")), 0, "{attempt}");
     }
 }
+
+/// Number and size, in bytes, of large records in the stream of upstreams. Each takes a read of its own, so that a follower
+/// needs more than a second for all of them.
+const LARGE_RECORDS: usize = 10;
+const LARGE_RECORD_BYTES: usize = 600_000;
+
+/// Guards against streams that hold events of two software versions: an instance lacked more records than one read of the store
+/// returns, and after the first part took the version that had served alone for that of all streams.
+#[tokio::test]
+async fn an_instance_that_lacks_much_takes_no_version_for_alone_before_it_has_read_all() {
+    let mut site = Site::start(2).await;
+    wait_for_versions(&site).await;
+    let link = site.start_separable_instance(SEPARATE).await.unwrap();
+    platform_support::wait_until("the instances discover each other", || {
+        site.instances.iter().all(|instance| instance.live_members() == 2)
+    })
+    .await;
+    let resumed = resume_stream(&site, SEPARATE, "never-seen", 2).await;
+    assert_eq!(
+        resumed,
+        (200, Some(EVENTS_PER_STREAM - 1)),
+        "one version has served alone"
+    );
+
+    link.set_mode(LinkMode::Silent);
+    site.store.set_endpoint_refusal(SEPARATE, Some(503));
+    platform_support::wait_until("the instance hears nobody", || {
+        site.instances[SEPARATE].live_members() == 0
+    })
+    .await;
+    let value = vec![b'x'; LARGE_RECORD_BYTES];
+    for _ in 0..LARGE_RECORDS {
+        site.store.put("keyed.servers", "large", Some(&value));
+    }
+    site.store.put_upstream("large", None);
+    for id in ["d3", "d4"] {
+        site.start_upstream(engine(id, "v2")).await.unwrap();
+    }
+    site.store.set_endpoint_refusal(SEPARATE, None);
+    assert_eq!(resume_stream(&site, SEPARATE, "late", 2).await, (503, None));
+    assert_eq!(site.runs_of("late-again"), 0);
+}
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -208,6 +208,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
+    /// End offset of the stream; a read returns a limited number of bytes and may end before it.
+    pub end_offset: u64,
 }
 
 /// Consecutive records of a stream.
