Model the right to send duty calls where nobody checks the fence

The holder may send within half a lease after it sent a confirmed append; a successor waits 1.05 leases from its read of the records before its claim.

--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -3,7 +3,9 @@
 //! An adapter implements them: it knows header names, formats and endpoints and makes no decisions. It
 //! decodes all input into the types defined here, so the gateway never handles wire names.
 
+use std::fmt::Debug;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -323,6 +325,15 @@
     NoAnswer(String),
 }
 
+/// Right to send calls that no receiver checks.
+pub trait SendGuard: Debug + Send + Sync {
+    /// True if bytes of the call may be written now.
+    fn may_send(&self) -> bool;
+
+    /// Time in which a written call must have arrived.
+    fn flight_time(&self) -> Duration;
+}
+
 /// Identity that the holder of the duties sends with its calls.
 #[derive(Clone, Copy, Debug)]
 pub struct DutyHolder<'a> {
@@ -330,6 +341,8 @@
     pub instance: &'a str,
     /// Its fencing number.
     pub fence: u64,
+    /// Checked right before the bytes of the call are written; `None` if the receivers check the fencing number.
+    pub guard: Option<&'a Arc<dyn SendGuard>>,
 }
 
 /// Order for the number of upstreams in one data centre.
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -6,6 +6,12 @@
 //! the stream that its writer has read, so a writer that has missed a claim can't append. The offset of a
 //! claim determines its holder's fencing number. The counts of a usage window are appended before they are
 //! reported, so that a later holder that reports the window again reports the same counts.
+//!
+//! Receivers that check the fencing number refuse the calls of a former holder. Where they don't, the holder may send only
+//! within [`SEND_SHARE`] of the lease after it sent an append that was confirmed; the rest of the lease is for calls in
+//! flight. A successor sends nothing until a lease has passed since it read the records before its claim: its claim can't
+//! follow a record that it hasn't read, so no append of the former holder is confirmed later. Neither rule depends on when a
+//! process runs, so both hold for a holder that was frozen.
 
 use std::time::Duration;
 
@@ -17,6 +23,17 @@
 /// Number of usage windows whose counts are retained.
 const RETAINED_WINDOWS: u64 = 32;
 
+/// Share of the lease in which a holder may send calls after it sent an append that was confirmed, where nobody checks its
+/// fencing number. The rest is for calls in flight.
+pub const SEND_SHARE: f64 = 0.5;
+
+/// Share of the lease after which such a holder renews its right before it sends a call. Appends normally take milliseconds, so
+/// the right lasts for the call.
+const RENEWAL_SHARE: f64 = 0.25;
+
+/// Factor by which a successor waits longer than the lease. Monotonic clocks of machines differ by well under 1 %.
+const WAIT_FACTOR: f64 = 1.05;
+
 /// Record of the duties stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum DutyRecord {
@@ -34,6 +51,11 @@
         /// Started requests by customer.
         counts: Vec<(CustomerId, u64)>,
     },
+    /// The holder renews its right to send calls.
+    Renewal {
+        /// Its fencing number.
+        fence: u64,
+    },
 }
 
 /// The latest claim.
@@ -55,6 +77,12 @@
     next_offset: u64,
     claim: Option<DutyClaim>,
     usage: FastMap<u64, Vec<(CustomerId, u64)>>,
+    /// When the newest record was read; `None` if records before the next one were skipped.
+    newest_read_at: Option<MonoTime>,
+    /// When the records before the latest claim had been read; `None` if it is the first record of the stream.
+    former_read_at: Option<MonoTime>,
+    /// When this process sent its newest append that was confirmed since the latest claim.
+    renewed_at: Option<MonoTime>,
 }
 
 impl DutyState {
@@ -65,7 +93,10 @@
 
     /// Continues at `offset` after older records have expired.
     pub fn skip_to(&mut self, offset: u64) {
-        self.next_offset = self.next_offset.max(offset);
+        if offset > self.next_offset {
+            self.next_offset = offset;
+            self.newest_read_at = None;
+        }
     }
 
     /// Applies the record at `offset`. Records are applied in order; repeats are ignored.
@@ -77,6 +108,8 @@
         match record {
             DutyRecord::Claim { holder, incarnation } => {
                 let fence = offset + 1;
+                self.former_read_at = (offset > 0).then(|| self.newest_read_at.unwrap_or(now));
+                self.renewed_at = None;
                 self.claim = Some(DutyClaim {
                     holder,
                     incarnation,
@@ -88,9 +121,39 @@
                 self.usage.entry(window).or_insert(counts);
                 self.usage.retain(|index, _| index + RETAINED_WINDOWS > window);
             }
+            DutyRecord::Renewal { .. } => {}
+        }
+        self.newest_read_at = Some(now);
+    }
+
+    /// Records that an append which the process sent at `sent_at` is confirmed.
+    pub fn confirm(&mut self, holder: &InstanceId, incarnation: Incarnation, sent_at: MonoTime) {
+        if self.fence_of(holder, incarnation).is_some() {
+            self.renewed_at = self.renewed_at.max(Some(sent_at));
         }
     }
 
+    /// True if the holder with this fencing number may send a call at `now` to a receiver that doesn't check the number.
+    pub fn may_send(&self, fence: u64, now: MonoTime, lease: Duration) -> bool {
+        let is_latest = self.claim.as_ref().is_some_and(|claim| claim.fence == fence);
+        is_latest && self.has_waited(now, lease) && self.is_renewed_within(lease.mul_f64(SEND_SHARE), now)
+    }
+
+    /// True if no call of a former holder can be in flight any more.
+    pub fn has_waited(&self, now: MonoTime, lease: Duration) -> bool {
+        self.former_read_at
+            .is_none_or(|at| now.since(at) >= lease.mul_f64(WAIT_FACTOR))
+    }
+
+    /// True if the holder should renew its right before it sends a call.
+    pub fn needs_renewal(&self, now: MonoTime, lease: Duration) -> bool {
+        !self.is_renewed_within(lease.mul_f64(RENEWAL_SHARE), now)
+    }
+
+    fn is_renewed_within(&self, max_age: Duration, now: MonoTime) -> bool {
+        self.renewed_at.is_some_and(|at| now.since(at) < max_age)
+    }
+
     /// The latest claim.
     pub fn claim(&self) -> Option<&DutyClaim> {
         self.claim.as_ref()
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod crashes;
 mod duty;
+mod duty_unfenced;
 mod exchange;
 mod load;
 mod members;
