Send duty calls without a fence check only while the lease is certain

Where the bound RequireFence is false, each duty call and order to an upstream needs a right that was renewed at the store, and checks it in the write of its bytes, on a connection of its own that the kernel gives up in time. A successor plans and sends nothing until the former holder's lease is over. With RequireFence true (default) calls go the same way as before.

--- a/marigoldlock/src/gateway/capacity.rs
+++ b/marigoldlock/src/gateway/capacity.rs
@@ -11,6 +11,7 @@
 use crate::logging::DECISION_TARGET;
 
 use super::Gateway;
+use super::send_right::{NO_RIGHT, obtain_right};
 
 /// Plans the capacity of all services and sends the orders.
 #[derive(Debug, Default)]
@@ -90,16 +91,22 @@
 }
 
 async fn send_order(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     duties: &dyn DutyApi,
     fence: u64,
     order: &CapacityOrder,
 ) -> DutyOutcome {
-    let holder = DutyHolder {
-        instance: gateway.parts.card.id.as_str(),
-        fence,
+    let right = obtain_right(gateway, fence).await;
+    let outcome = if right.is_denied() {
+        DutyOutcome::Refused(NO_RIGHT.into())
+    } else {
+        let holder = DutyHolder {
+            instance: gateway.parts.card.id.as_str(),
+            fence,
+            guard: right.guard(),
+        };
+        duties.order_capacity(holder, order).await
     };
-    let outcome = duties.order_capacity(holder, order).await;
     log::info!(
         target: DECISION_TARGET,
         service:% = order.service, data_centre:% = order.data_centre, count = order.count, cheap = order.is_spot,
--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -182,6 +182,10 @@
                 .release_duties("another instance holds a higher fencing number");
             return;
         }
+        let bounds = self.gateway.bounds();
+        if !bounds.requires_fence && !self.gateway.state().duty_state.has_waited(now, bounds.lease) {
+            return;
+        }
         if !self.roles.tick(&self.gateway, fence) {
             self.gateway
                 .release_duties("an upstream has seen a higher fencing number");
--- a/marigoldlock/src/gateway/duty_log.rs
+++ b/marigoldlock/src/gateway/duty_log.rs
@@ -32,6 +32,7 @@
                 return false;
             }
         };
+        let sent_at = self.gateway.now();
         match self
             .gateway
             .parts
@@ -42,7 +43,10 @@
             Ok(AppendOutcome::Appended(offset)) => {
                 self.failures = 0;
                 let now = self.gateway.now();
-                self.gateway.state().duty_state.apply(offset, record, now);
+                let card = &self.gateway.parts.card;
+                let mut state = self.gateway.state();
+                state.duty_state.apply(offset, record, now);
+                state.duty_state.confirm(&card.id, card.incarnation, sent_at);
                 true
             }
             Ok(AppendOutcome::EndMismatch(actual)) => {
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod reach;
 mod response;
 mod roles;
+mod send_right;
 mod state;
 mod stream;
 mod usage;
@@ -92,6 +93,8 @@
     pub shutdown_grace: Duration,
     /// Time within which the holder of the duties must not change twice.
     pub lease: Duration,
+    /// True if the receivers of duty calls refuse a fencing number that is too low.
+    pub requires_fence: bool,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time after the end of a usage window by which it must be reported.
@@ -143,6 +146,8 @@
     origins_pending: Notify,
     /// Notified when another instance has told of streams.
     origins_changed: Notify,
+    /// Held while the right to send duty calls is renewed, so that calls which are due together share one renewal.
+    renewing: tokio::sync::Mutex<()>,
     /// What the store has been asked about streams.
     lookup: tokio::sync::Mutex<LookupState>,
     /// Tasks of callers' connections and streams.
@@ -238,6 +243,7 @@
             peer_sync_differs: Notify::new(),
             origins_pending: Notify::new(),
             origins_changed: Notify::new(),
+            renewing: tokio::sync::Mutex::default(),
             lookup: tokio::sync::Mutex::default(),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
--- a/marigoldlock/src/gateway/roles.rs
+++ b/marigoldlock/src/gateway/roles.rs
@@ -11,6 +11,7 @@
 use crate::logging::DECISION_TARGET;
 
 use super::Gateway;
+use super::send_right::{NO_RIGHT, obtain_right};
 
 /// Time between the announcement of a role change and its order, so that all instances have stopped sending
 /// requests to the engine.
@@ -112,7 +113,7 @@
     }
 }
 
-async fn send_order(gateway: &Gateway, fence: u64, change: &RoleChange) -> OrderOutcome {
+async fn send_order(gateway: &Arc<Gateway>, fence: u64, change: &RoleChange) -> OrderOutcome {
     let Some(entry) = gateway.state().catalog.get(change.upstream.as_str()).cloned() else {
         return OrderOutcome::Refused("the upstream is no longer listed".into());
     };
@@ -121,9 +122,14 @@
         Ok(_) => return OrderOutcome::Refused("the upstream is carrying out another order".into()),
         Err(err) => return OrderOutcome::Refused(err.to_string()),
     };
+    let right = obtain_right(gateway, fence).await;
+    if right.is_denied() {
+        return OrderOutcome::Refused(NO_RIGHT.into());
+    }
     let holder = DutyHolder {
         instance: gateway.parts.card.id.as_str(),
         fence,
+        guard: right.guard(),
     };
     let order = RoleOrder {
         upstream: &entry.id,
--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -15,6 +15,7 @@
 
 use super::Gateway;
 use super::duty_log::DutyLog;
+use super::send_right::obtain_right;
 
 /// Time between two checks for windows to report.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
@@ -141,9 +142,14 @@
         let Some(duties) = self.gateway.parts.duty_api.clone() else {
             return false;
         };
+        let right = obtain_right(&self.gateway, fence).await;
+        if right.is_denied() {
+            return false;
+        }
         let holder = DutyHolder {
             instance: self.gateway.parts.card.id.as_str(),
             fence,
+            guard: right.guard(),
         };
         let outcome = duties.report_usage(holder, window, &counts).await;
         log::info!(
--- a/marigoldlock/src/platform_run.rs
+++ b/marigoldlock/src/platform_run.rs
@@ -119,6 +119,7 @@
         },
         shutdown_grace: bounds.shutdown_grace,
         lease: bounds.lease,
+        requires_fence: bounds.requires_fence,
         usage_window: bounds.usage_window,
         usage_due: bounds.usage_due,
     }
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -3,8 +3,9 @@
 mod platform_support;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use marigoldlock::gateway::GatewayBounds;
 use marigoldlock::platform_run::SettingsFileWatcher;
 use marigoldlock_core::gateway::crashes::CrashReport;
 use marigoldlock_core::gateway::members::{
@@ -437,6 +438,54 @@
     assert_eq!(site.duties.conflicts(), 0);
 }
 
+/// Guards against calls of two holders in turn where the platform checks no fencing number: a successor sends nothing for a
+/// lease after it has read the last record of the former holder.
+#[tokio::test]
+async fn without_a_fence_a_successor_waits_for_the_lease_of_the_former_holder() {
+    let lease = Duration::from_secs(5);
+    let mut site = Site::start(2).await;
+    for instance in &site.instances {
+        let bounds = GatewayBounds {
+            requires_fence: false,
+            lease,
+            ..instance.bounds()
+        };
+        instance.set_bounds(bounds);
+    }
+    for number in 0..6 {
+        site.send(number % 2, "/look/x", &format!("l{number}")).await;
+    }
+    wait_until("six requests are reported", || site.reported_requests() == 6).await;
+    let first = site.duties.usage().into_values().next().unwrap().holder;
+    // The successor may claim at once, as the claim that it has read is older than the lease.
+    tokio::time::sleep(lease).await;
+    site.instances.remove(usize::from(first == "n1")).abort();
+    let killed_at = Instant::now();
+    // Requests of the following windows, so that a report is due as soon as the successor may send.
+    let mut number = 6;
+    while !site
+        .duties
+        .usage()
+        .into_values()
+        .any(|usage| usage.holder != first)
+    {
+        assert!(
+            killed_at.elapsed() < Duration::from_secs(20),
+            "no successor reports"
+        );
+        site.send(0, "/look/x", &format!("l{number}")).await;
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    println!("first report of the successor after {:?}", killed_at.elapsed());
+    assert!(
+        killed_at.elapsed() >= lease + Duration::from_secs(1),
+        "the successor reported {:?} after the kill",
+        killed_at.elapsed()
+    );
+    assert_eq!(site.duties.conflicts(), 0);
+}
+
 #[tokio::test]
 async fn usage_survives_lost_append_responses() {
     let site = Site::start(1).await;
