Make the test of the successor's wait tell it from other delays

Reports waited up to 10 s for the lost holder's counts, which hid the wait: the test passed with the fence check on as well (10.1 s). Now usage is due after 2 s.

--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -448,6 +448,8 @@
         let bounds = GatewayBounds {
             requires_fence: false,
             lease,
+            // A report does not wait long for the counts of the lost holder.
+            usage_due: Duration::from_secs(2),
             ..instance.bounds()
         };
         instance.set_bounds(bounds);
