--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod crashes;
 mod duty;
+mod duty_unfenced;
 mod exchange;
 mod hedge;
 mod intake;
