--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -104,6 +104,8 @@
     pub waiting: u32,
     /// Requests that can run concurrently.
     pub slots: u32,
+    /// How long work takes at present, in percent of the normal time; `None` if the upstream doesn't say.
+    pub slowdown: Option<u32>,
 }
 
 /// Decoded head of an upstream's response.
--- a/marigoldlock_core/src/gateway/tests/upstreams.rs
+++ b/marigoldlock_core/src/gateway/tests/upstreams.rs
@@ -149,6 +149,7 @@
         running: 6,
         waiting: 3,
         slots: 8,
+        slowdown: None,
     };
     state.record_report(report, at(0));
     assert_eq!(state.requests(at(100)), 9);
