Choose upstreams by the time that work takes there

Upstreams with permanent or temporary differences of speed got the same share of the work. Each instance now keeps a slowness factor per upstream, from the reported slowdown (smoothed, decaying with its age to its long-term mean) and from response times compared with the others of the service and data centre. Plain requests, prefills and decoding are weighed with it.

While no speed differs notably, costs and decisions are unchanged.

--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -449,9 +449,17 @@
                 timeout =
                     timeout.min(MIN_ATTEMPT_TIMEOUT.max(self.route.target_latency * ATTEMPT_TIMEOUT_FACTOR));
             }
+            let has_slot = self.requests_at(&entry) < entry.slots;
             let guard = WorkGuard::new(&self.gateway, &entry.id, 0);
             let result = self.exchange(&entry, permit, timeout).await;
             drop(guard);
+            if has_slot
+                && result
+                    .as_ref()
+                    .is_ok_and(|response| response.status().is_success())
+            {
+                self.record_service_time(&entry);
+            }
             match result {
                 Ok(response) if response.status() == StatusCode::INTERNAL_SERVER_ERROR => {
                     self.count_started();
@@ -484,11 +492,12 @@
         let turn = self.gateway.pace_turn(&state);
         let candidates = state.candidates(&self.service, |_| true, &self.tried, context.now, turn.as_ref());
         let has_others = candidates.len() > 1;
-        let entry = pick_plain(candidates.iter().copied(), context, rand::rng().random())?;
+        let entry = pick_plain(&candidates, context, rand::rng().random())?;
         log::info!(
             target: DECISION_TARGET,
             request = self.head.attempt_id, upstream:% = entry.id, candidates = candidates.len(),
-            load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(context.now));
+            load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(context.now)),
+            slowness_per_mille = state.slowness(&entry.id, context.now).per_mille();
             "upstream chosen"
         );
         Some((entry.clone(), has_others))
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod listener;
 mod origin_log;
 mod origins;
+mod plain;
 mod prefill;
 mod reach;
 mod response;
--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigoldlock_core::gateway::admission::{PrefillRate, retry_after};
+use marigoldlock_core::gateway::admission::{MIN_SAMPLE_TOKENS, PrefillRate, retry_after};
 use marigoldlock_core::gateway::choice::pick_prefill;
 use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPhase};
 use marigoldlock_core::gateway::prelude::*;
@@ -110,6 +110,11 @@
                     .entry(call.service.clone())
                     .or_default()
                     .record(uncached, elapsed, requests);
+                // Shorter prompts measure the fixed cost of a request.
+                if uncached >= MIN_SAMPLE_TOKENS {
+                    let work = uncached * u64::from(requests);
+                    state.record_time(entry, work, elapsed, call.gateway.now());
+                }
             }
             PrefillOutcome::Done(KvHandleGuard {
                 gateway: Arc::clone(&call.gateway),
@@ -234,6 +239,7 @@
         prompt_tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens),
         queued_tokens = engine.map_or(0, UpstreamState::prefill_backlog_tokens),
         requests = engine.map_or(0, |engine| engine.own.requests + engine.peers.requests),
+        slowness_per_mille = state.slowness(&entry.id, now).per_mille(),
         waited_ms = now.since(call.arrived).as_millis() as u64;
         "prefill engine chosen"
     );
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -19,11 +19,14 @@
 use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::queue::PrefillQueue;
 use marigoldlock_core::gateway::reach::ReachState;
+use marigoldlock_core::gateway::speed::{SlownessFactor, SpeedBaseline};
 use marigoldlock_core::gateway::state::UpstreamState;
 use marigoldlock_core::gateway::store_health::StoreHealth;
 use marigoldlock_core::gateway::usage::UsageCounts;
 use marigoldlock_core::prelude::*;
 
+use crate::logging::DECISION_TARGET;
+
 use super::crash_check::BrokenAttempt;
 
 /// Longest time for which a stream may go on, as a multiple of the longest timeout of a route: a caller's time may be
@@ -103,6 +106,8 @@
     pub prefill_queue: PrefillQueue,
     /// Prefill rate of each service's engines.
     pub prefill_rates: FastMap<ServiceId, PrefillRate>,
+    /// Mean response times by service and data centre of the upstreams.
+    pub speed_baselines: FastMap<(ServiceId, DataCentre), SpeedBaseline>,
     /// Heartbeat rounds since the start; the sequence number of the last report.
     pub reports_sent: u64,
     /// Contact with the store.
@@ -228,6 +233,30 @@
         self.upstreams.entry(id.clone()).or_default()
     }
 
+    /// Slowness of an upstream; normal if it isn't known.
+    pub fn slowness(&self, id: &UpstreamId, now: MonoTime) -> SlownessFactor {
+        self.upstreams
+            .get(id)
+            .map_or(SlownessFactor::NORMAL, |upstream| upstream.slowness(now))
+    }
+
+    /// Records that work of the given amount took `elapsed` at an upstream.
+    pub fn record_time(&mut self, entry: &UpstreamEntry, work: u64, elapsed: Duration, now: MonoTime) {
+        let key = (entry.service.clone(), entry.data_centre.clone());
+        let baseline = self.speed_baselines.entry(key).or_default();
+        let upstream = self.upstreams.entry(entry.id.clone()).or_default();
+        let before = upstream.slowness(now);
+        upstream.record_time(work, elapsed, baseline, now);
+        let slowness = upstream.slowness(now);
+        if slowness.is_notable() != before.is_notable() {
+            log::info!(
+                target: DECISION_TARGET,
+                upstream:% = entry.id, slowness_per_mille = slowness.per_mille();
+                "the upstream's measured speed changed"
+            );
+        }
+    }
+
     /// Versions of the settings and upstreams that this instance has.
     pub fn sync_state(&self) -> SyncState {
         SyncState {
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -209,6 +209,7 @@
         request = call.head.attempt_id, upstream:% = entry.id, version:% = entry.version, candidates = candidates.len(),
         unread = uncached, has_memory = has_kv_cache,
         load = state.upstreams.get(&entry.id).map_or(0, |upstream| upstream.requests(context.now)),
+        slowness_per_mille = state.slowness(&entry.id, context.now).per_mille(),
         news_age_ms = state.upstreams_date.age(context.now).map(|age| age.as_millis() as u64);
         "upstream chosen"
     );
--- a/marigoldlock_core/src/gateway/admission.rs
+++ b/marigoldlock_core/src/gateway/admission.rs
@@ -11,7 +11,7 @@
 const SAMPLE_WEIGHT: f64 = 0.05;
 
 /// Smallest sample, in tokens: shorter prompts measure the fixed cost of a request instead of the rate.
-const MIN_SAMPLE_TOKENS: u64 = 1_000;
+pub const MIN_SAMPLE_TOKENS: u64 = 1_000;
 
 /// Lower bound of the rate, in tokens per millisecond, so that estimated times stay finite.
 const MIN_RATE: f64 = 0.1;
--- a/marigoldlock_core/src/gateway/choice.rs
+++ b/marigoldlock_core/src/gateway/choice.rs
@@ -1,8 +1,11 @@
 //! Choice of the upstream for a request.
 //!
 //! Costs are expressed in prompt tokens, since prefill is the bottleneck. The cost of a candidate is its
-//! prefill backlog plus what this request adds, plus an extra cost if it is in another data centre.
+//! prefill backlog plus what this request adds, plus an extra cost if it is in another data centre. Work at
+//! an upstream of known speed counts with the time that it takes there; without known speeds, costs are those
+//! of equally fast upstreams.
 
+use std::borrow::Cow;
 use std::hash::Hasher;
 
 use marigoldlock_wire::prelude::*;
@@ -33,6 +36,14 @@
 /// backlog.
 const UNHEALTHY_COST_TOKENS: u64 = 30_000;
 
+/// Work of decoding one request, in prompt tokens, by which a slow engine costs more than a fast one even while
+/// both are idle: that of eight running requests, so that slow engines get work well before fast ones are full.
+const DECODE_WORK_TOKENS: u64 = 960;
+
+/// Upstreams of known speed that are compared in each of the nearest and the other data centres. All instances
+/// would take the best of all at once while their reports are old.
+const SAMPLE_SIZE: usize = 2;
+
 /// An upstream with its known state.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -52,13 +63,15 @@
 }
 
 /// Picks the upstream for a request to a plain service: the least loaded one. An upstream in another data
-/// centre, or with at least half of its slots taken, counts as if 40 % more of its slots were taken.
+/// centre, or with at least half of its slots taken, counts as if 40 % more of its slots were taken. Where speeds
+/// are known, the load including this request counts with the time that it takes, and only a sample is compared.
 pub fn pick_plain<'a>(
-    candidates: impl Iterator<Item = Candidate<'a>>,
+    candidates: &[Candidate<'a>],
     context: ChoiceContext<'_>,
     random: u64,
 ) -> Option<&'a UpstreamEntry> {
-    candidates
+    compared(candidates, context, random)
+        .iter()
         .min_by_key(|candidate| {
             let requests = candidate.state.requests(context.now);
             let is_local = candidate.entry.data_centre == *context.data_centre;
@@ -70,12 +83,51 @@
             let load = u64::from(requests) * 1_000 / u64::from(slots);
             let half_full = u64::from(is_half_full) * 400;
             let suspect = u64::from(candidate.state.is_suspect()) * 2_000;
-            let tie_breaker = seeded_hash(random, candidate.entry.id.as_str());
-            (load + remote + half_full + suspect, tie_breaker)
+            let work = u64::from(requests + 1) * 1_000 / u64::from(slots);
+            let cost = (load + remote + half_full + suspect).cast_signed()
+                + candidate.state.slowness(context.now).excess(work);
+            (cost, seeded_hash(random, candidate.entry.id.as_str()))
         })
         .map(|candidate| candidate.entry)
 }
 
+/// Candidates among which a request goes to the cheapest: all of them, or a sample if speeds are known. A full or
+/// failing one is then compared only if there is no other, so slow upstreams are used up to their capacity.
+fn compared<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    context: ChoiceContext<'_>,
+    random: u64,
+) -> Cow<'b, [Candidate<'a>]> {
+    let slowness = |candidate: &Candidate<'_>| candidate.state.slowness(context.now);
+    if !candidates
+        .iter()
+        .any(|candidate| slowness(candidate).is_notable())
+    {
+        return Cow::Borrowed(candidates);
+    }
+    let is_healthy = |candidate: &&Candidate<'_>| {
+        candidate.state.requests(context.now) < candidate.entry.slots && !candidate.state.is_suspect()
+    };
+    let mut healthy: Vec<Candidate<'a>> = candidates.iter().filter(is_healthy).copied().collect();
+    if healthy.is_empty() {
+        healthy.extend_from_slice(candidates);
+    }
+    // Fast upstreams are drawn more often: of exponential variables with rates as the speeds, the smallest ones.
+    healthy.sort_by_cached_key(|candidate| {
+        let hash = seeded_hash(random, candidate.entry.id.as_str());
+        let uniform = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        let scale = f64::from(slowness(candidate).per_mille());
+        (-(1.0 - uniform).ln() * scale * 1e6) as u64
+    });
+    let is_local = |candidate: &Candidate<'_>| candidate.entry.data_centre == *context.data_centre;
+    let (local, remote): (Vec<_>, Vec<_>) = healthy.into_iter().partition(is_local);
+    let sample = local
+        .into_iter()
+        .take(SAMPLE_SIZE)
+        .chain(remote.into_iter().take(SAMPLE_SIZE));
+    Cow::Owned(sample.collect())
+}
+
 /// Picks the upstream that should prefill a prompt, or serve the whole request: the one that finishes the
 /// prefill at the lowest cost. Also returns the number of uncached tokens.
 ///
@@ -112,9 +164,8 @@
                 UpstreamRole::Decode => DECODE_PREFILL_FACTOR,
                 UpstreamRole::Prefill | UpstreamRole::Whole => 1,
             };
-            let prefill_cost =
-                (candidate.state.prefill_backlog_tokens() + uncached * UNCACHED_FACTOR) * factor;
-            let cost = prefill_cost + placement_cost(candidate, context);
+            let work = (candidate.state.prefill_backlog_tokens() + uncached * UNCACHED_FACTOR) * factor;
+            let cost = candidate.state.slowness(context.now).scale(work) + placement_cost(candidate, context);
             (
                 cost,
                 seeded_hash(shared_prefix_id, candidate.entry.id.as_str()),
@@ -132,10 +183,13 @@
     context: ChoiceContext<'_>,
     random: u64,
 ) -> Option<&'a UpstreamEntry> {
-    candidates
+    compared(candidates, context, random)
         .iter()
         .min_by_key(|candidate| {
-            let cost = candidate.state.prefill_backlog_tokens() * 2 + placement_cost(candidate, context);
+            let slowness = candidate.state.slowness(context.now);
+            let backlog_cost = slowness.scale(candidate.state.prefill_backlog_tokens() * 2);
+            let cost = (backlog_cost + placement_cost(candidate, context)).cast_signed()
+                + slowness.excess(DECODE_WORK_TOKENS);
             (cost, seeded_hash(random, candidate.entry.id.as_str()))
         })
         .map(|candidate| candidate.entry)
@@ -145,7 +199,10 @@
     let requests = candidate.state.requests(context.now);
     let is_local = candidate.entry.data_centre == *context.data_centre;
     let is_full = requests >= candidate.entry.slots;
-    u64::from(requests) * RUNNING_COST_TOKENS
+    candidate
+        .state
+        .slowness(context.now)
+        .scale(u64::from(requests) * RUNNING_COST_TOKENS)
         + u64::from(!is_local) * REMOTE_COST_TOKENS
         + u64::from(is_full) * UNHEALTHY_COST_TOKENS
         + u64::from(candidate.state.is_suspect()) * UNHEALTHY_COST_TOKENS
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod reach;
 pub mod roles;
 pub mod route;
+pub mod speed;
 pub mod state;
 pub mod store_health;
 mod trials;
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::adapter::LoadReport;
 use super::pace::{LimitStatement, PaceTurn, StatedLimit};
 use super::prefix::PrefixSet;
+use super::speed::{SlownessFactor, SpeedBaseline, UpstreamSpeed};
 
 /// Consecutive failures after which an upstream is ejected.
 const FAILURES_TO_EJECT: u32 = 2;
@@ -85,6 +86,7 @@
     /// Prompt parts that are probably in the upstream's cache.
     pub prefix: PrefixSet,
     report: Option<(LoadReport, MonoTime)>,
+    speed: UpstreamSpeed,
     limit: Option<StatedLimit>,
     /// End of the time for which the upstream wants no requests.
     closed_until: MonoTime,
@@ -109,6 +111,19 @@
     /// Records a load report.
     pub fn record_report(&mut self, report: LoadReport, now: MonoTime) {
         self.report = Some((report, now));
+        if let Some(percent) = report.slowdown {
+            self.speed.record_report(percent, now);
+        }
+    }
+
+    /// Records that work of the given amount took `elapsed` at the upstream.
+    pub fn record_time(&mut self, work: u64, elapsed: Duration, baseline: &mut SpeedBaseline, now: MonoTime) {
+        self.speed.record_time(work, elapsed, baseline, now);
+    }
+
+    /// How long work takes at the upstream, relative to the others of its service.
+    pub fn slowness(&self, now: MonoTime) -> SlownessFactor {
+        self.speed.slowness(now)
     }
 
     /// Records what a response says of the upstream's rate limit; returns true if the limit changed.
--- a/marigoldlock_core/src/gateway/tests/choice.rs
+++ b/marigoldlock_core/src/gateway/tests/choice.rs
@@ -152,7 +152,7 @@
     }
     let data_centre = DataCentre::from("c");
     let pick = |fleet: &[(UpstreamEntry, UpstreamState)]| {
-        let chosen = pick_plain(candidates(fleet).into_iter(), context(&data_centre), 3);
+        let chosen = pick_plain(&candidates(fleet), context(&data_centre), 3);
         chosen.unwrap().data_centre.clone()
     };
     assert_eq!(pick(&fleet), data_centre);
@@ -167,6 +167,6 @@
     let mut fleet = fleet(&[(UpstreamRole::Whole, 2)]);
     fleet[0].1.record_failure(at(0));
     let data_centre = DataCentre::from("a");
-    let chosen = pick_plain(candidates(&fleet).into_iter(), context(&data_centre), 3);
+    let chosen = pick_plain(&candidates(&fleet), context(&data_centre), 3);
     assert_eq!(chosen.unwrap().id.as_str(), "u1");
 }
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -3,7 +3,9 @@
 mod choice;
 mod crashes;
 mod duty;
+mod even_choice;
 mod exchange;
+mod herding;
 mod load;
 mod members;
 mod news;
@@ -11,6 +13,7 @@
 mod pace;
 mod reach;
 mod requests;
+mod speed;
 mod trials;
 mod upstreams;
 mod usage;
