--- a/marigoldlock/src/gateway/hedge.rs
+++ b/marigoldlock/src/gateway/hedge.rs
@@ -274,7 +274,7 @@
         self.sample_load(&mut state, context.now);
         let turn = self.gateway.pace_turn(&state);
         let candidates = state.candidates(&self.service, |_| true, &tried, context.now, turn.as_ref());
-        let picked = pick_plain(candidates.iter().copied(), context, rand::rng().random());
+        let picked = pick_plain(&candidates, context, rand::rng().random());
         let picked = picked.map(|entry| &entry.id);
         let candidate = candidates
             .iter()
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod listener;
 mod origin_log;
 mod origins;
+mod plain;
 mod prefill;
 mod reach;
 mod response;
--- a/marigoldlock_core/src/gateway/tests/hedge.rs
+++ b/marigoldlock_core/src/gateway/tests/hedge.rs
@@ -206,6 +206,7 @@
         running: 3,
         waiting: 0,
         slots: 6,
+        slowdown: None,
     };
     upstreams[1].1.record_report(full, at(0));
     let stale = at(1_000);
@@ -417,6 +418,7 @@
                     running: at_upstream.count() as u32,
                     waiting: 0,
                     slots: 12,
+                    slowdown: None,
                 };
                 upstreams[won.upstream].1.record_report(report, now);
                 let loser = running.iter().position(|attempt| attempt.request == won.request);
@@ -451,11 +453,12 @@
                 let candidates = upstreams.iter().enumerate();
                 let candidates = candidates.filter(|(place, _)| Some(*place) != first);
                 let candidates = candidates.map(|(_, (entry, state))| Candidate { entry, state });
+                let candidates: Vec<Candidate<'_>> = candidates.collect();
                 let context = ChoiceContext {
                     data_centre: &data_centre,
                     now,
                 };
-                let picked = pick_plain(candidates, context, request as u64)
+                let picked = pick_plain(&candidates, context, request as u64)
                     .unwrap()
                     .id
                     .clone();
@@ -585,6 +588,7 @@
         running: 4,
         waiting: 0,
         slots: 6,
+        slowdown: None,
     };
     upstreams[1].1.record_report(report, at(0));
     let asked = ask(&mut state, Some(&upstreams[1]), at(2_000), |_| {});
