Mend what a review of allowances, speeds and capacity found

Cause, by a review of: totals of an earlier process that a relay still forwards were charged anew (its whole lifetime); charges made during a cut were taken from the whole after it, since datagrams of charges come before the heartbeat that tells of the silence; 40 reports of many customers exceed a datagram; a burst that fits for certain could be refused; upstreams of even services with few upstreams counted as slower after a change that all have in common; one lost spot upstream of two was never replaced. Change: the replaced process is remembered, silence is seen when totals arrive, datagrams are split by size, a request that fits even if all that is not told yet was admitted is admitted, only upstreams that report a slowdown are measured, and the half of one spot upstream is one. reports_that_arrive_twice now has the contacts that heartbeats make; as strict.

--- a/marigoldlock/src/gateway/allowance.rs
+++ b/marigoldlock/src/gateway/allowance.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use bytes::Bytes;
 use marigoldlock_core::gateway::allowance::{AllowanceDecision, ChargeReport, InstanceKey};
 use marigoldlock_core::gateway::exchange::RoundTargets;
 use marigoldlock_core::gateway::prelude::*;
@@ -16,7 +17,7 @@
 use crate::logging::DECISION_TARGET;
 
 use super::call::Call;
-use super::heartbeats::Datagram;
+use super::heartbeats::{Datagram, MAX_DATAGRAM_BYTES, TARGET_DATAGRAM_BYTES};
 use super::{Gateway, codec};
 
 /// Rounds of heartbeats between two reports of the totals of all customers; the others name those that changed.
@@ -25,9 +26,6 @@
 /// Rounds in a row in which the totals of all customers are told, since datagrams are lost.
 const COMPLETE_REPORT_REPEATS: u64 = 3;
 
-/// Reports in one datagram; a report names tens of customers at most, so that it fits into a few packets.
-const REPORTS_PER_DATAGRAM: usize = 40;
-
 /// Reports of charges for the targets of one round.
 pub struct ChargeReports {
     /// For the instances of the same data centre.
@@ -100,14 +98,7 @@
 
 /// Sends reports of charges to other instances.
 pub async fn send_charges(socket: &UdpSocket, reports: &[ChargeReport], addresses: &[SocketAddr]) {
-    for part in reports.chunks(REPORTS_PER_DATAGRAM) {
-        let bytes = match codec::encode(&Datagram::<()>::Charges(part.to_vec())) {
-            Ok(bytes) => bytes,
-            Err(err) => {
-                log::error!(error:% = err; "charges can't be encoded");
-                return;
-            }
-        };
+    for bytes in encode_reports(reports) {
         for address in addresses {
             if let Err(err) = socket.send_to(&bytes, address).await {
                 log::debug!(peer:% = address, error:% = err; "charges not sent");
@@ -116,6 +107,30 @@
     }
 }
 
+/// Encodes reports as datagrams that the receiver's buffer holds.
+fn encode_reports(reports: &[ChargeReport]) -> Vec<Bytes> {
+    if reports.is_empty() {
+        return Vec::new();
+    }
+    match codec::encode(&Datagram::<()>::Charges(reports.to_vec())) {
+        Ok(bytes) if bytes.len() > TARGET_DATAGRAM_BYTES && reports.len() > 1 => {
+            let (first, second) = reports.split_at(reports.len() / 2);
+            let mut datagrams = encode_reports(first);
+            datagrams.extend(encode_reports(second));
+            datagrams
+        }
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => vec![bytes],
+        Ok(bytes) => {
+            log::error!(bytes = bytes.len(); "a report of charges is too large; not sent");
+            Vec::new()
+        }
+        Err(err) => {
+            log::error!(error:% = err; "charges can't be encoded");
+            Vec::new()
+        }
+    }
+}
+
 /// Charge of a request to its customer's allowance. It is handed back when the guard is dropped, unless the request has run
 /// or may have.
 pub struct AllowanceGuard {
--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -28,10 +28,10 @@
 use super::{Gateway, codec};
 
 /// Largest datagram, in bytes; the limit of UDP is slightly higher.
-const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+pub const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
 /// Size of a heartbeat, in bytes, above which its forwarded reports are split between several datagrams.
-const TARGET_DATAGRAM_BYTES: usize = 30 << 10;
+pub const TARGET_DATAGRAM_BYTES: usize = 30 << 10;
 
 /// Maximum number of upstreams whose work a heartbeat reports, so that it fits into a few packets.
 const MAX_REPORTED_UPSTREAMS: usize = 64;
--- a/marigoldlock_core/src/gateway/allowance.rs
+++ b/marigoldlock_core/src/gateway/allowance.rs
@@ -291,6 +291,8 @@
 #[derive(Clone, Debug)]
 struct InstanceTotals {
     incarnation: u32,
+    /// The process before; relays may still forward its totals.
+    replaced: Option<u32>,
     sequence: u64,
     heard_at: MonoTime,
     /// True if it was silent, so that its next totals are not compared with earlier ones.
@@ -433,7 +435,9 @@
         let level = bucket.level - untold * MEAN_DELAY_INTERVALS;
         let admitted_rate = (rate + level / correction_time.as_secs_f64()).max(0.0);
         // The demand is known with noise: one that is a little over the rate may use up the burst.
-        let is_within = bucket.level > 0.0 && demand <= rate
+        let told_later = demand * interval.as_secs_f64() * MEAN_DELAY_INTERVALS;
+        let is_within = level - told_later >= cost as f64
+            || bucket.level > 0.0 && demand <= rate
             || level >= cost as f64 && demand <= rate * BURST_DEMAND_FACTOR;
         let is_admitted = rate > 0.0 && (is_within || random * demand < admitted_rate);
         if is_admitted {
@@ -549,14 +553,21 @@
         {
             return;
         }
+        if known.is_some_and(|peer| peer.replaced == Some(report.incarnation)) {
+            return;
+        }
         let is_restarted = known.is_some_and(|peer| peer.incarnation != report.incarnation);
+        let replaced = known.filter(|_| is_restarted).map(|peer| peer.incarnation);
         let is_stale = now < self.news_stale_until;
-        let is_baseline = is_stale || known.is_none_or(|peer| peer.was_silent && !is_restarted);
+        let was_silent =
+            |peer: &InstanceTotals| peer.was_silent || now.since(peer.heard_at) >= self.liveness_timeout;
+        let is_baseline = is_stale || known.is_none_or(|peer| was_silent(peer) && !is_restarted);
         let has_zeros = is_restarted || known.is_some_and(|peer| peer.is_complete);
         let mut peer = match known {
             Some(peer) if !is_restarted => peer.clone(),
             _ => InstanceTotals {
                 incarnation: report.incarnation,
+                replaced,
                 sequence: 0,
                 heard_at: now,
                 was_silent: false,
--- a/marigoldlock_core/src/gateway/demand.rs
+++ b/marigoldlock_core/src/gateway/demand.rs
@@ -591,7 +591,7 @@
             }
             // Spot upstreams that restart one by one are not a loss.
             let enough = if centre.orders.has_enough_spot() {
-                spot / 2
+                spot.div_ceil(2)
             } else {
                 spot - spot / STEP_DIVISOR
             };
--- a/marigoldlock_core/src/gateway/speed.rs
+++ b/marigoldlock_core/src/gateway/speed.rs
@@ -160,6 +160,11 @@
         reported.at = now;
     }
 
+    /// True if the upstream has reported a slowdown.
+    pub fn has_reports(&self) -> bool {
+        self.reported.is_some()
+    }
+
     /// Records that work of the given amount took `elapsed`; the unit of work is the same for all upstreams of
     /// the baseline.
     pub fn record_time(&mut self, work: u64, elapsed: Duration, baseline: &mut SpeedBaseline, now: MonoTime) {
--- a/marigoldlock_core/src/gateway/state.rs
+++ b/marigoldlock_core/src/gateway/state.rs
@@ -116,9 +116,12 @@
         }
     }
 
-    /// Records that work of the given amount took `elapsed` at the upstream.
+    /// Records that work of the given amount took `elapsed` at the upstream. Only upstreams that report a slowdown are
+    /// measured: with few upstreams in a data centre, a change that all have in common looks like a difference.
     pub fn record_time(&mut self, work: u64, elapsed: Duration, baseline: &mut SpeedBaseline, now: MonoTime) {
-        self.speed.record_time(work, elapsed, baseline, now);
+        if self.speed.has_reports() {
+            self.speed.record_time(work, elapsed, baseline, now);
+        }
     }
 
     /// How long work takes at the upstream, relative to the others of its service.
--- a/marigoldlock_core/src/gateway/tests/allowance.rs
+++ b/marigoldlock_core/src/gateway/tests/allowance.rs
@@ -509,6 +509,7 @@
     for time in (0..2_000).step_by(100) {
         sender.update(share, millis(1_000), BOUNDS, at(time));
         receiver.update(share, millis(1_000), BOUNDS, at(time));
+        receiver.record_contact(&id, at(time));
     }
     assert_eq!(
         sender.try_charge(&customer, 50_000, 0.5, at(2_000)),
@@ -522,6 +523,70 @@
     assert!((level - (RATE - 50_000.0)).abs() < 1.0, "{level}");
 }
 
+/// An instance and another one that has heard it for two seconds.
+fn sender_and_receiver(id: &InstanceId, customer: &CustomerId) -> (AllowanceTable, AllowanceTable) {
+    let allowances = FastMap::from_iter([(customer.clone(), allowance())]);
+    let (mut sender, mut receiver) = (AllowanceTable::new(at(0)), AllowanceTable::new(at(0)));
+    sender.set_allowances(&allowances);
+    receiver.set_allowances(&allowances);
+    let share = FleetShare { heard: 2, known: 2 };
+    for time in (0..=2_000).step_by(100) {
+        sender.update(share, millis(1_000), BOUNDS, at(time));
+        receiver.update(share, millis(1_000), BOUNDS, at(time));
+        let report = sender.own_report(id, Incarnation(1), time / 100 + 1, time == 0, at(time));
+        receiver.record_contact(id, at(time));
+        receiver.record(&report, at(time));
+    }
+    (sender, receiver)
+}
+
+/// Guards against totals of an earlier process that arrive late through a relay and are charged once more.
+#[test]
+fn totals_of_an_earlier_process_are_not_charged_again() {
+    let (id, customer) = (InstanceId::from("edge-1"), CustomerId::from("agency"));
+    let (mut sender, mut receiver) = sender_and_receiver(&id, &customer);
+    for _ in 0..40 {
+        sender.try_charge(&customer, 30_000, 0.0, at(2_000));
+    }
+    let old = sender.own_report(&id, Incarnation(1), 100, true, at(2_000));
+    receiver.record(&old, at(2_000));
+    let mut restarted = AllowanceTable::new(at(2_000));
+    restarted.set_allowances(&FastMap::from_iter([(customer.clone(), allowance())]));
+    let new = |sequence| restarted.own_report(&id, Incarnation(2), sequence, true, at(2_000));
+    receiver.record(&new(1), at(2_000));
+    let before = receiver.state(&customer, at(2_000));
+    for report in [&old, &new(2), &old, &new(3)] {
+        receiver.record(report, at(2_000));
+    }
+    assert!(before.is_some());
+    assert_eq!(receiver.state(&customer, at(2_000)), before);
+}
+
+/// Guards against charges of a healed cut, which were made with the other side's part, that are taken from the whole.
+#[test]
+fn charges_made_during_a_cut_are_not_charged_after_it() {
+    let (id, customer) = (InstanceId::from("edge-1"), CustomerId::from("agency"));
+    let (mut sender, mut receiver) = sender_and_receiver(&id, &customer);
+    sender.try_charge(&customer, 10_000, 0.0, at(2_000));
+    receiver.record(
+        &sender.own_report(&id, Incarnation(1), 50, false, at(2_000)),
+        at(2_000),
+    );
+    let share = FleetShare { heard: 1, known: 2 };
+    for time in (2_100..=12_000).step_by(100) {
+        sender.update(share, millis(1_000), BOUNDS, at(time));
+        receiver.update(share, millis(1_000), BOUNDS, at(time));
+        sender.try_charge(&customer, 10_000, 0.0, at(time));
+    }
+    let before = receiver.state(&customer, at(12_000)).unwrap().level;
+    // The datagram of charges may arrive before the first heartbeat.
+    receiver.record(
+        &sender.own_report(&id, Incarnation(1), 150, false, at(12_000)),
+        at(12_000),
+    );
+    assert!((receiver.state(&customer, at(12_000)).unwrap().level - before).abs() < 1.0);
+}
+
 #[test]
 fn requests_are_counted_by_the_unit_of_the_allowance() {
     let tokens = allowance();
--- a/marigoldlock_core/src/gateway/tests/speed.rs
+++ b/marigoldlock_core/src/gateway/tests/speed.rs
@@ -264,3 +264,15 @@
     assert_ne!(chosen.id, owner);
     assert_eq!(uncached, 10_000);
 }
+
+/// Guards against a service whose upstreams report no slowdown and are chosen by chance differences of their answers.
+#[test]
+fn an_upstream_that_reports_no_slowdown_is_not_measured() {
+    let mut baseline = SpeedBaseline::default();
+    let mut silent = UpstreamState::default();
+    for number in 0..1_000 {
+        let elapsed = if number < 500 { 20 } else { 60 };
+        silent.record_time(1, millis(elapsed), &mut baseline, at(number * 10));
+    }
+    assert!(!silent.slowness(at(10_000)).is_notable());
+}
