--- a/marigoldlock_core/src/gateway/tests/allowance.rs
+++ b/marigoldlock_core/src/gateway/tests/allowance.rs
@@ -31,6 +31,9 @@
 /// Customer's rate, in tokens per second.
 const RATE: f64 = 128_000.0;
 
+/// Rate of a customer for which the fixed slack of the bound is small.
+const LARGE_RATE: f64 = 1_000_000.0;
+
 /// Usual demand of a customer, relative to its rate.
 const USUAL: f64 = 1.0 / 1.8;
 
@@ -78,6 +81,7 @@
     random: StdRng,
     now_ms: u64,
     customer: CustomerId,
+    first_rate: f64,
     allowance: CustomerAllowance,
     /// Time and tokens of each run.
     runs: Vec<(u64, u64)>,
@@ -87,12 +91,22 @@
 
 impl Fleet {
     fn new(size: usize, seed: u64) -> Self {
+        Self::with_rate(size, seed, RATE)
+    }
+
+    /// Fleet whose customer has a rate and a burst of `rate`.
+    fn with_rate(size: usize, seed: u64, rate: f64) -> Self {
         let mut fleet = Self {
+            first_rate: rate,
             instances: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             now_ms: 0,
             customer: CustomerId::from("agency"),
-            allowance: allowance(),
+            allowance: CustomerAllowance {
+                rate,
+                burst: rate,
+                ..allowance()
+            },
             runs: Vec::new(),
             asked: 0,
             refused: 0,
@@ -155,7 +169,7 @@
     /// Lets time pass while the customer asks for `demand` times its first rate at instances below `callers`.
     fn run(&mut self, length_ms: u64, demand: f64, callers: usize) {
         let mean_cost = 8_700.0;
-        let per_step = demand * RATE * STEP_MS as f64 / 1e3 / mean_cost;
+        let per_step = demand * self.first_rate * STEP_MS as f64 / 1e3 / mean_cost;
         for _ in 0..length_ms / STEP_MS {
             self.now_ms += STEP_MS;
             self.deliver();
@@ -400,8 +414,8 @@
 /// Guards against an old bucket that is spent when a frozen process goes on.
 #[test]
 fn frozen_instances_spend_nothing_old() {
-    for (frozen, seed) in [(8, 1), (38, 2), (76, 3)] {
-        let mut fleet = Fleet::new(76, seed);
+    for (frozen, seed, rate) in [(8, 1, RATE), (38, 2, RATE), (76, 3, RATE), (76, 4, LARGE_RATE)] {
+        let mut fleet = Fleet::with_rate(76, seed, rate);
         fleet.run(14_000, 0.0, 76);
         for _ in 0..4 {
             fleet.run(3_000, USUAL * 10.0, 76);
@@ -414,20 +428,33 @@
     }
 }
 
+/// Lets a hot customer press while instances are killed and start again.
+fn press_while_restarting(killed: usize, seed: u64, rate: f64) {
+    let mut fleet = Fleet::with_rate(76, seed, rate);
+    fleet.run(14_000, 0.0, 76);
+    for _ in 0..4 {
+        fleet.run(3_000, USUAL * 10.0, 76);
+        fleet.set(0..killed, Condition::Dead);
+        fleet.run(1_000, USUAL * 10.0, 76);
+        fleet.restart(0..killed);
+    }
+    fleet.run(3_000, USUAL * 10.0, 76);
+    fleet.assert_bound(0);
+}
+
 /// Guards against a burst that is given twice when instances, or all of them, are killed and start again.
 #[test]
 fn restarted_instances_give_no_second_burst() {
     for (killed, seed) in [(12, 1), (42, 2), (76, 3)] {
-        let mut fleet = Fleet::new(76, seed);
-        fleet.run(14_000, 0.0, 76);
-        for _ in 0..4 {
-            fleet.run(3_000, USUAL * 10.0, 76);
-            fleet.set(0..killed, Condition::Dead);
-            fleet.run(1_000, USUAL * 10.0, 76);
-            fleet.restart(0..killed);
-        }
-        fleet.run(3_000, USUAL * 10.0, 76);
-        fleet.assert_bound(0);
+        press_while_restarting(killed, seed, RATE);
+    }
+}
+
+/// Guards against the same for a customer for which the fixed slack of the bound is small.
+#[test]
+fn restarted_instances_give_a_large_customer_no_second_burst() {
+    for (killed, seed) in [(12, 1), (42, 2), (76, 3)] {
+        press_while_restarting(killed, seed, LARGE_RATE);
     }
 }
 
