--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -114,16 +114,10 @@
             && value.to_ascii_lowercase().contains("chunked")
         {
             let mut body = Vec::new();
-            loop {
-                let size = usize::from_str_radix(self.line()?.split(';').next().unwrap_or("").trim(), 16)
-                    .map_err(io::Error::other)?;
-                if size == 0 {
-                    while !self.line()?.is_empty() {}
-                    return Ok(body);
-                }
-                body.extend(self.take(size)?);
-                self.line()?;
+            while let Some(chunk) = self.chunk()? {
+                body.extend(chunk);
             }
+            return Ok(body);
         }
         if let Some((_, value)) = find("content-length") {
             return self.take(value.parse().map_err(io::Error::other)?);
@@ -147,13 +141,33 @@
         Ok(Some(Request { method, path: path.to_owned(), query: query.to_owned(), headers, body }))
     }
 
-    /// Reads a response: status, headers and the whole body.
-    pub fn response(&mut self) -> io::Result<Response> {
+    /// Reads the head of a response: status and headers.
+    pub fn response_head(&mut self) -> io::Result<(u16, Vec<(String, String)>)> {
         let Some(head) = self.head()? else {
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
         let (first, headers) = parse(&head);
         let status = first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+        Ok((status, headers))
+    }
+
+    /// Reads the next chunk of a body; `None` after the last one.
+    pub fn chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let size = self.line()?;
+        let size = size.split(';').next().unwrap_or_default().trim();
+        let size = usize::from_str_radix(size, 16).map_err(io::Error::other)?;
+        if size == 0 {
+            while !self.line()?.is_empty() {}
+            return Ok(None);
+        }
+        let chunk = self.take(size)?;
+        self.line()?;
+        Ok(Some(chunk))
+    }
+
+    /// Reads a response: status, headers and the whole body.
+    pub fn response(&mut self) -> io::Result<Response> {
+        let (status, headers) = self.response_head()?;
         let body = if status == 204 { Vec::new() } else { self.body(&headers, true)? };
         Ok(Response { status, headers, body })
     }
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 mod drill;
 mod fleet;
 mod http;
+mod joined;
 mod platform;
 mod record;
 
@@ -48,6 +49,7 @@
     record.say(format!("case {case}, disruption {}", if setup.has_trouble { "on" } else { "off" }));
     let result = match case.as_str() {
         "same-fence" => drill::same_fence(&setup),
+        "joined" => joined::joined(&setup),
         "duty-hangs" => drill::duty_hangs(&setup),
         _ => Err(std::io::Error::other("no such case")),
     };
