--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -46,7 +46,10 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
         record: record.clone(),
     };
-    record.say(format!("case {case}, disruption {}", if setup.has_trouble { "on" } else { "off" }));
+    record.say(format!(
+        "case {case}, disruption {}",
+        if setup.has_trouble { "on" } else { "off" }
+    ));
     let result = match case.as_str() {
         "same-fence" => drill::same_fence(&setup),
         "joined" => joined::joined(&setup),
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn create(path: &str) -> std::io::Result<Self> {
-        Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), started: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(File::create(path)?)),
+            started: Instant::now(),
+        })
     }
 
     /// Seconds since the start of the run.
@@ -24,7 +27,12 @@
     /// Writes a line with the time.
     pub fn line(&self, text: impl AsRef<str>) {
         let mut file = self.file.lock().unwrap_or_else(|err| err.into_inner());
-        let _ = writeln!(file, "{:9.3} {}", self.started.elapsed().as_secs_f64(), text.as_ref());
+        let _ = writeln!(
+            file,
+            "{:9.3} {}",
+            self.started.elapsed().as_secs_f64(),
+            text.as_ref()
+        );
     }
 
     /// Writes a line with the time to the record and to standard output.
