--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -104,6 +104,20 @@
             .push(status);
     }
 
+    /// Sends `count` requests at the same time, each on a channel of its own.
+    pub fn burst(&self, fronts: &[SocketAddr], sendings: &[Sending], count: usize) {
+        let senders: Vec<_> = (0..count)
+            .map(|at| {
+                let (crowd, sending) = (self.clone(), sendings[at % sendings.len()]);
+                let front = fronts[at % fronts.len()];
+                thread::spawn(move || crowd.send(front, sending))
+            })
+            .collect();
+        for sender in senders {
+            let _ = sender.join();
+        }
+    }
+
     /// Starts a consumer that sends one request each `pause` until the run is over.
     pub fn spawn(
         &self,
--- a/review/harness/drill.rs
+++ b/review/harness/drill.rs
@@ -132,6 +132,11 @@
     /// The drill; afterwards the operator and the runners write again what is not there any more.
     pub fn drill(&self) {
         self.store.drill(AWAY, COPY_AGE);
+        self.write_again();
+    }
+
+    /// The operator and the runners write again what is not there any more.
+    fn write_again(&self) {
         let manifest = manifest(7);
         if self.store.value("keyed.op", "config").as_deref() != Some(&manifest) {
             self.store.put("keyed.op", "config", &manifest);
@@ -305,6 +310,134 @@
     })
 }
 
+/// Interval of the runners' pings, `HeartbeatMs`.
+const PING: Duration = Duration::from_millis(1_200);
+
+/// Bound of the rule.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// Three runners are added, and the store loses what they wrote. Later one of them leaves. Consumers come in groups, every
+/// five seconds.
+pub fn unseen_leaving(setup: &Setup) -> io::Result<Verdict> {
+    let mut site = Site::start(setup)?;
+    let record = &setup.record;
+    let directories: Vec<_> = site
+        .fleet
+        .instances
+        .iter()
+        .map(|instance| instance.directory())
+        .collect();
+    let group = |site: &Site| {
+        let mut fronts: Vec<_> = Vec::new();
+        for (directory, zone) in directories.iter().zip(ZONES) {
+            fronts.extend(Crowd::resolve(*directory, zone));
+        }
+        fronts.sort();
+        fronts.dedup();
+        if !fronts.is_empty() {
+            site.crowd.burst(&fronts, &SENDINGS, 48);
+        }
+    };
+    thread::sleep(Duration::from_secs(4));
+    group(&site);
+    // The new runners are slow for 3.6 s after their start. Their entries tell how much longer, so they change with each
+    // ping.
+    let cold = PING * 3;
+    let count = site.runners.len();
+    for (at, zone) in ZONES.iter().enumerate() {
+        let id = format!("i-n{at:03}");
+        let work = Duration::from_millis(60);
+        let mut runner = Runner::start(&id, "taller-api", zone, work, &site.arrivals, record)?;
+        runner.cold_until = Some(Instant::now() + cold);
+        site.store.put("keyed.servers", &runner.id, &runner.entry());
+        site.runners.push(runner);
+    }
+    for _ in 0..2 {
+        thread::sleep(PING);
+        for runner in &site.runners[count..] {
+            site.store.put("keyed.servers", &runner.id, &runner.entry());
+        }
+    }
+    thread::sleep(Duration::from_millis(200));
+    if setup.has_trouble {
+        site.store.drill(AWAY, Duration::from_secs(3));
+        site.write_again();
+    } else {
+        thread::sleep(AWAY);
+    }
+    // The last change of their entries: they are slow no more.
+    thread::sleep(Duration::from_millis(200));
+    for runner in &site.runners[count..] {
+        if site.store.value("keyed.servers", &runner.id).as_deref() != Some(&runner.entry()) {
+            site.store.put("keyed.servers", &runner.id, &runner.entry());
+        }
+    }
+    for _ in 0..2 {
+        thread::sleep(Duration::from_secs(5));
+        group(&site);
+    }
+    thread::sleep(Duration::from_millis(2_400));
+    let leaver = &site.runners[count];
+    leaver.is_leaving.store(true, std::sync::atomic::Ordering::SeqCst);
+    site.store.put("keyed.servers", &leaver.id, &leaver.entry());
+    let confirmed_at = Instant::now();
+    record.say(format!("{} is draining, the store has confirmed it", leaver.id));
+    let before_end = site
+        .crowd
+        .outcomes
+        .lock()
+        .unwrap_or_else(|err| err.into_inner())
+        .len();
+    // It serves for `DrainMs` and a little longer, and exits.
+    let has_exited = std::sync::Arc::clone(&leaver.has_exited);
+    let end = thread::spawn(move || {
+        thread::sleep(DRAIN + Duration::from_millis(640));
+        has_exited.store(true, std::sync::atomic::Ordering::SeqCst);
+    });
+    thread::sleep(DRAIN + Duration::from_millis(600));
+    group(&site);
+    let _ = end.join();
+    record.say(format!("{} has exited", leaver.id));
+    site.store.put("keyed.servers", &leaver.id, "");
+    thread::sleep(Duration::from_secs(1));
+    let leaver = leaver.id.clone();
+    summary(setup, &site);
+    let outcomes = site.crowd.outcomes.lock().unwrap_or_else(|err| err.into_inner());
+    let lost = outcomes[before_end..]
+        .iter()
+        .filter(|status| **status != 200)
+        .count();
+    record.say(format!(
+        "requests of the last group that were not answered 200: {lost} of 48"
+    ));
+    let arrivals = site.arrivals.lock().unwrap_or_else(|err| err.into_inner());
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.runner == leaver && arrival.has_run);
+    let faults: Vec<String> = late
+        .filter_map(|arrival| {
+            let after = arrival.at.checked_duration_since(confirmed_at)?;
+            (after > DRAIN).then(|| {
+                format!(
+                    "{} reached {leaver} {} ms after it was confirmed to leave",
+                    arrival.attempt,
+                    after.as_millis()
+                )
+            })
+        })
+        .collect();
+    let before = arrivals
+        .iter()
+        .filter(|arrival| arrival.runner == leaver && arrival.at < confirmed_at)
+        .count();
+    record.say(format!("requests that reached {leaver} before it left: {before}"));
+    Ok(if faults.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken(faults)
+    })
+}
+
 fn summary(setup: &Setup, site: &Site) {
     let record = &setup.record;
     let outcomes = site.crowd.outcomes.lock().unwrap_or_else(|err| err.into_inner());
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -53,6 +53,7 @@
     let result = match case.as_str() {
         "same-fence" => drill::same_fence(&setup),
         "joined" => joined::joined(&setup),
+        "unseen-leaving" => drill::unseen_leaving(&setup),
         "duty-hangs" => drill::duty_hangs(&setup),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/harness/platform.rs
+++ b/review/harness/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -427,6 +427,8 @@
 /// A request that a runner got.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub at: Instant,
+    pub runner: String,
     pub attempt: String,
     pub has_run: bool,
 }
@@ -438,6 +440,11 @@
     pub zone: String,
     pub address: SocketAddr,
     born_ms: u64,
+    /// Until when it is slow after its start, which its entry tells.
+    pub cold_until: Option<Instant>,
+    pub is_leaving: Arc<AtomicBool>,
+    /// True once its process has exited: what it was at work on has no answer.
+    pub has_exited: Arc<AtomicBool>,
 }
 
 /// What runners got, in order.
@@ -460,14 +467,30 @@
             zone: zone.to_owned(),
             address,
             born_ms: unix_ms(),
+            cold_until: None,
+            is_leaving: Arc::default(),
+            has_exited: Arc::default(),
         };
         let (id, arrivals, record) = (runner.id.clone(), Arc::clone(arrivals), record.clone());
+        let is_leaving = Arc::clone(&runner.is_leaving);
+        let has_exited = Arc::clone(&runner.has_exited);
         let active = AtomicU64::new(0);
         serve(listener, move |request, stream| {
+            if has_exited.load(Ordering::SeqCst) {
+                return false;
+            }
             let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
             let mut headers = vec![("Attempt-Id", attempt.as_str())];
+            let leaving = is_leaving.load(Ordering::SeqCst);
+            if leaving {
+                headers.push(("Server-Leaving", "1"));
+            }
             let refusal = if request.path == "/health" {
-                Some("200 OK")
+                Some(if leaving {
+                    "503 Service Unavailable"
+                } else {
+                    "200 OK"
+                })
             } else if request
                 .header("Expect-Instance")
                 .is_some_and(|expected| expected != id)
@@ -481,6 +504,8 @@
             if request.path != "/health" {
                 let mut known = arrivals.lock().unwrap_or_else(|err| err.into_inner());
                 known.push(Arrival {
+                    at: Instant::now(),
+                    runner: id.clone(),
                     attempt: attempt.clone(),
                     has_run: refusal.is_none(),
                 });
@@ -497,6 +522,10 @@
             active.fetch_add(1, Ordering::SeqCst);
             thread::sleep(work);
             let load = format!("{},0,6", active.fetch_sub(1, Ordering::SeqCst) - 1);
+            if has_exited.load(Ordering::SeqCst) {
+                record.line(format!("runner {id}: has exited before {attempt} was done"));
+                return false;
+            }
             let seal = format!("{id}.{attempt}");
             headers.push(("Response-Seal", &seal));
             headers.push(("Instance-Load", &load));
@@ -507,9 +536,17 @@
 
     /// The runner's entry in the store.
     pub fn entry(&self) -> String {
+        let state = if self.is_leaving.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
+        let cold = self.cold_until.map_or(0, |until| {
+            until.saturating_duration_since(Instant::now()).as_millis()
+        });
         format!(
             "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"1\",\"Slots\":6,\
-             \"State\":\"ready\",\"ColdLeftMs\":0,\"Sequence\":1,\"born\":{}}}",
+             \"State\":\"{state}\",\"ColdLeftMs\":{cold},\"Sequence\":1,\"born\":{}}}",
             self.service, self.address, self.zone, self.born_ms
         )
     }
