--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/marigoldlock ] && [ -x target/review/harness ] || { echo "build first" >&2; exit 2; }
-exec target/review/harness joined review/1
+exec target/review/harness same-fence review/1
