Let the stand-in store come back from a copy

Cause: the stand-in could neither lose what it had acknowledged nor say so, so no test could show what instances do then.

Change: a copy of all topics can be taken and restored; each restore raises the era in the header of all answers, ends waiting reads, and answers 410 for an offset that it doesn't have. An append that is carried out late may be carried out in a later era. The stand-in for duty calls counts calls with a fencing number that another holder sent before.

--- a/marigoldlock_standin/src/site/duties.rs
+++ b/marigoldlock_standin/src/site/duties.rs
@@ -46,6 +46,10 @@
 #[derive(Debug, Default)]
 struct DutyState {
     highest_fence: u64,
+    /// Holder that first sent the highest fencing number.
+    holder: String,
+    /// Calls with a fencing number that another holder had sent before.
+    rivals: u32,
     usage: BTreeMap<u64, AcceptedUsage>,
     conflicts: u32,
     orders: Vec<ScaleOrder>,
@@ -91,6 +95,11 @@
         lock(&self.shared).conflicts
     }
 
+    /// Accepted calls with a fencing number that another holder had sent before.
+    pub fn rivals(&self) -> u32 {
+        lock(&self.shared).rivals
+    }
+
     /// Orders accepted so far.
     pub fn orders(&self) -> Vec<ScaleOrder> {
         lock(&self.shared).orders.clone()
@@ -109,8 +118,13 @@
     if fence < state.highest_fence {
         return None;
     }
-    state.highest_fence = fence;
-    text("duty-holder").map(str::to_owned)
+    let holder = text("duty-holder")?.to_owned();
+    if fence > state.highest_fence {
+        state.highest_fence = fence;
+        state.holder.clone_from(&holder);
+    }
+    state.rivals += u32::from(holder != state.holder);
+    Some(holder)
 }
 
 async fn usage(
--- a/marigoldlock_standin/src/site/mod.rs
+++ b/marigoldlock_standin/src/site/mod.rs
@@ -20,7 +20,7 @@
     DIRECTORY_PORT, FRONT_PORT, READINESS_PORT, SITE_BODY, SiteCaller, instance_file, instance_file_at,
 };
 pub use self::duties::{AcceptedUsage, DutyStandin, ScaleOrder};
-pub use self::store::{StoreFaults, StoreStandin};
+pub use self::store::{StoreCopy, StoreFaults, StoreStandin};
 pub use self::upstream::{
     ArrivalRecord, EVENTS_PER_STREAM, RunRecord, UpstreamFaults, UpstreamOptions, UpstreamStandin,
 };
--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -1,4 +1,7 @@
 //! Stand-in for the platform's store: topics with conditional appends, and the newest record of each key.
+//!
+//! The store can come back from a copy: what was written since the copy is gone, offsets are given out again, and the era in
+//! all of its answers rises by one. An append that is carried out late may be carried out in a later era.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,7 +11,7 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{Query, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use base64::Engine as _;
@@ -26,6 +29,12 @@
 /// has the same limit.
 const MAX_READ_BYTES: usize = 1_000_000;
 
+/// Header with the era of the store, in all of its answers.
+const ERA_HEADER: &str = "store-era";
+
+/// Era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
+
 /// Faults of the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreFaults {
@@ -45,16 +54,24 @@
     pub stale_from: Option<u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first: u64,
     records: Vec<Bytes>,
     newest: BTreeMap<String, (u64, Bytes)>,
 }
 
+/// A copy of the store's content.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    topics: BTreeMap<String, Topic>,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     topics: BTreeMap<String, Topic>,
+    /// How often the store has come back from a copy.
+    restores: u64,
     faults: StoreFaults,
     calls: u64,
     /// Status with which each endpoint refuses calls, if it does.
@@ -168,6 +185,27 @@
         }
     }
 
+    /// Copies the content, as a backup does.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: lock(&self.shared).topics.clone(),
+        }
+    }
+
+    /// Replaces the content by that of a copy and begins a new era. Reads that wait are refused.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.shared);
+        state.topics.clone_from(&copy.topics);
+        state.restores += 1;
+        drop(state);
+        self.shared.1.notify_waiters();
+    }
+
+    /// Era in the store's answers.
+    pub fn era(&self) -> u64 {
+        lock(&self.shared).era()
+    }
+
     /// Compacts a topic: drops its records, but keeps the newest value of each key.
     pub fn compact(&self, topic: &str) {
         if let Some(topic) = lock(&self.shared).topics.get_mut(topic) {
@@ -229,6 +267,21 @@
     }
 }
 
+impl StoreState {
+    fn era(&self) -> u64 {
+        FIRST_ERA + self.restores
+    }
+
+    /// Adds the era to an answer.
+    fn answer(&self, answer: impl IntoResponse) -> Response {
+        let mut response = answer.into_response();
+        response
+            .headers_mut()
+            .insert(ERA_HEADER, HeaderValue::from(self.era()));
+        response
+    }
+}
+
 fn lock(shared: &Shared) -> MutexGuard<'_, StoreState> {
     shared.0.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -265,7 +318,7 @@
             .and_then(|number| state.endpoints.get(number).copied().flatten());
         let status = state.faults.refuse.or(endpoint)?;
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-        Some(status.into_response())
+        Some(state.answer(status))
     }
 }
 
@@ -305,7 +358,7 @@
     let end = topic.end();
     if query.at.is_some_and(|at| at != end) {
         let answer = axum::Json(json!({"EndOffset": end}));
-        return ((StatusCode::PRECONDITION_FAILED, answer).into_response(), false);
+        return (state.answer((StatusCode::PRECONDITION_FAILED, answer)), false);
     }
     let mut rest = body;
     while rest.len() >= 4 {
@@ -317,9 +370,10 @@
     let answer = json!({"Offset": end, "EndOffset": topic.end()});
     let is_lost = state.faults.lost_answers > 0;
     state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
+    let answer = state.answer(axum::Json(answer));
     drop(state);
     shared.1.notify_waiters();
-    (axum::Json(answer).into_response(), is_lost)
+    (answer, is_lost)
 }
 
 async fn read(State(endpoint): State<StoreEndpoint>, Query(query): Query<TopicQuery>) -> Response {
@@ -328,8 +382,15 @@
     }
     let shared = Arc::clone(&endpoint.shared);
     let due = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
+    let restores = lock(&shared).restores;
     loop {
         let changed = shared.1.notified();
+        {
+            let state = lock(&shared);
+            if state.restores != restores {
+                return state.answer(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        }
         if let Some(answer) = read_now(&endpoint, &query, tokio::time::Instant::now() >= due) {
             return answer;
         }
@@ -338,11 +399,9 @@
             () = tokio::time::sleep_until(due) => {}
         }
         if tokio::time::Instant::now() >= due && lock(&shared).faults.skip_wakeups {
-            let end = lock(&shared)
-                .topics
-                .get(&query.topic)
-                .map_or(0, |topic| topic.first);
-            return offsets(query.from, end).into_response();
+            let state = lock(&shared);
+            let first = state.topics.get(&query.topic).map_or(0, |topic| topic.first);
+            return state.answer(offsets(query.from, first));
         }
     }
 }
@@ -358,9 +417,9 @@
         return Some(refusal);
     }
     let topic = state.topics.entry(query.topic.clone()).or_default();
-    if query.from < topic.first {
+    if query.from < topic.first || query.from > topic.end() {
         let answer = axum::Json(json!({"FirstOffset": topic.first}));
-        return Some((StatusCode::GONE, answer).into_response());
+        return Some(state.answer((StatusCode::GONE, answer)));
     }
     if query.from >= topic.end() && !is_due {
         return None;
@@ -376,7 +435,7 @@
         body.extend_from_slice(&u32::try_from(record.len()).unwrap_or(u32::MAX).to_be_bytes());
         body.extend_from_slice(record);
     }
-    Some(body.into_response())
+    Some(state.answer(body))
 }
 
 async fn newest(State(endpoint): State<StoreEndpoint>, Query(query): Query<TopicQuery>) -> Response {
@@ -401,6 +460,6 @@
         .take(MAX_PAGE_ITEMS)
         .map(|(key, (offset, value))| json!({"Key": key, "Value": BASE64.encode(value), "Offset": offset}))
         .collect();
-    axum::Json(json!({"items": page, "HasMore": items.len() > MAX_PAGE_ITEMS, "EndOffset": end}))
-        .into_response()
+    let answer = json!({"items": page, "HasMore": items.len() > MAX_PAGE_ITEMS, "EndOffset": end});
+    state.answer(axum::Json(answer))
 }
