Count listings in the stand-in store, and refuse without an era

Cause: no test could see that a stream is listed again in calm, nor keep the era from an instance that the store refuses.

Change: pages of listings are counted by topic; a refusal with status 502 comes from a gateway in front and names no era.

--- a/marigoldlock_standin/src/site/store.rs
+++ b/marigoldlock_standin/src/site/store.rs
@@ -74,6 +74,8 @@
     restores: u64,
     faults: StoreFaults,
     calls: u64,
+    /// Listings of each topic, counted by page.
+    listings: BTreeMap<String, u64>,
     /// Status with which each endpoint refuses calls, if it does.
     endpoints: Vec<Option<u16>>,
 }
@@ -140,7 +142,7 @@
         Ok(address)
     }
 
-    /// Makes an endpoint refuse all calls with a status; `None` serves them again.
+    /// Makes an endpoint refuse all calls with a status; `None` serves them again. Refusals with status 502 name no era.
     pub fn set_endpoint_refusal(&self, number: usize, refuse: Option<u16>) {
         if let Some(endpoint) = lock(&self.shared).endpoints.get_mut(number) {
             *endpoint = refuse;
@@ -240,6 +242,15 @@
         lock(&self.shared).topics.get(topic).map_or(0, Topic::end)
     }
 
+    /// Number of pages of listings of a topic that were read so far, refused ones included.
+    pub fn listings(&self, topic: &str) -> u64 {
+        lock(&self.shared)
+            .listings
+            .get(topic)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Number of calls received so far.
     pub fn calls(&self) -> u64 {
         lock(&self.shared).calls
@@ -318,6 +329,10 @@
             .and_then(|number| state.endpoints.get(number).copied().flatten());
         let status = state.faults.refuse.or(endpoint)?;
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        // A gateway in front of the store doesn't know its era.
+        if status == StatusCode::BAD_GATEWAY {
+            return Some(status.into_response());
+        }
         Some(state.answer(status))
     }
 }
@@ -439,6 +454,10 @@
 }
 
 async fn newest(State(endpoint): State<StoreEndpoint>, Query(query): Query<TopicQuery>) -> Response {
+    *lock(&endpoint.shared)
+        .listings
+        .entry(query.topic.clone())
+        .or_default() += 1;
     if let Some(refusal) = endpoint.begin_call().await {
         return refusal;
     }
