--- a/marigoldlock/src/gateway/catch_up.rs
+++ b/marigoldlock/src/gateway/catch_up.rs
@@ -11,12 +11,13 @@
 use marigoldlock_core::gateway::adapter::KeyedRecord;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::{MemberStage, MemberState, SyncState};
+use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::prelude::*;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use super::connections::{HttpSender, connect};
-use super::follow::{apply_settings, apply_upstream, become_ready};
+use super::follow::{apply_settings, apply_upstreams, become_ready};
 use super::{Gateway, codec};
 
 /// Time for which a follower of the store waits for its own long poll before it asks another instance.
@@ -47,8 +48,8 @@
 struct ChangeRequest {
     /// Version of the settings that the sender has.
     settings_version: u64,
-    /// Records of upstreams are requested from this offset on.
-    upstreams_from: u64,
+    /// Records of upstreams are requested from this position on; all of them if the receiver is in a later era.
+    upstreams_from: StorePosition,
 }
 
 /// Response with the changes that the requesting instance lacks.
@@ -56,6 +57,8 @@
 struct ChangeResponse {
     /// Settings; empty if the sender has none that are newer.
     settings: Vec<u8>,
+    /// Era of the offsets.
+    era: StoreEra,
     settings_offset: u64,
     /// Key, offset and value of each record; a removed upstream has no value.
     upstreams: Vec<(String, u64, Option<Vec<u8>>)>,
@@ -108,7 +111,7 @@
         match tokio::time::timeout(REQUEST_TIMEOUT, self.fetch(address, request)).await {
             Ok(Ok(response)) => {
                 log::info!(
-                    peer:% = address, upstreams_from = request.upstreams_from, upstreams_offset = response.upstreams_offset,
+                    peer:% = address, upstreams_from:% = request.upstreams_from, era:% = response.era, upstreams_offset = response.upstreams_offset,
                     upstreams = response.upstreams.len(), settings_bytes = response.settings.len();
                     "fetched changes from another instance"
                 );
@@ -155,7 +158,7 @@
         }
         let request = ChangeRequest {
             settings_version: own.settings_version,
-            upstreams_from: own.upstreams_offset,
+            upstreams_from: own.upstreams_position(),
         };
         Some((self.choose_peer(&ahead, &card.data_centre), request))
     }
@@ -170,7 +173,8 @@
     ) -> Option<(SocketAddr, ChangeRequest)> {
         let other = peers.iter().find(|member| {
             let sync_state = &member.report.sync_state;
-            sync_state.upstreams_offset == own.upstreams_offset
+            sync_state.upstreams_position() == own.upstreams_position()
+                && own.upstreams_offset > 0
                 && sync_state.upstreams_digest != own.upstreams_digest
         });
         let Some(other) = other else {
@@ -184,7 +188,7 @@
                 known.is_requested |= is_due;
                 let request = ChangeRequest {
                     settings_version: own.settings_version,
-                    upstreams_from: 0,
+                    upstreams_from: StorePosition::new(own.upstreams_position().era, 0),
                 };
                 is_due.then(|| (other.card().peer, request))
             }
@@ -248,29 +252,42 @@
 }
 
 fn is_ahead(other: &SyncState, own: &SyncState) -> bool {
-    other.settings_version > own.settings_version || other.upstreams_offset > own.upstreams_offset
+    other.settings_version > own.settings_version || other.upstreams_position() > own.upstreams_position()
 }
 
-fn apply_changes(gateway: &Gateway, response: ChangeResponse) {
-    if !response.settings.is_empty() {
-        apply_settings(gateway, &Bytes::from(response.settings), "instance");
+fn apply_changes(gateway: &Gateway, mut response: ChangeResponse) {
+    let settings = std::mem::take(&mut response.settings);
+    if !settings.is_empty() {
+        apply_settings(gateway, &Bytes::from(settings), "instance");
     }
+    // Settings have versions, which hold in all eras. Offsets of an earlier era say nothing.
+    if response.era == gateway.enter_era(response.era) && response.upstreams_offset > 0 {
+        apply_upstream_changes(gateway, response);
+    }
+    become_ready(gateway);
+}
+
+fn apply_upstream_changes(gateway: &Gateway, response: ChangeResponse) {
     if !response.upstreams.is_empty() {
         gateway.state().forget_hidden_versions(gateway.now());
     }
-    for (key, offset, value) in response.upstreams {
-        let record = KeyedRecord {
+    let records: Vec<KeyedRecord> = response
+        .upstreams
+        .into_iter()
+        .map(|(key, offset, value)| KeyedRecord {
             offset,
             key,
             value: value.map(Bytes::from),
-        };
-        apply_upstream(gateway, &record);
-    }
+        })
+        .collect();
+    // Without a listing of this era, all records were requested.
+    let is_listing = gateway.state().upstreams_offset == 0;
+    let next = StorePosition::new(response.era, response.upstreams_offset);
+    apply_upstreams(gateway, &records, next, is_listing);
     let mut state = gateway.state();
-    state.settings_offset = state.settings_offset.max(response.settings_offset);
-    state.upstreams_offset = state.upstreams_offset.max(response.upstreams_offset);
-    drop(state);
-    become_ready(gateway);
+    if state.store_era() == response.era {
+        state.settings_offset = state.settings_offset.max(response.settings_offset);
+    }
 }
 
 /// Handles another instance's request for changes.
@@ -284,7 +301,10 @@
     };
     let state = gateway.state();
     let has_newer_settings = state.sync_state().settings_version > request.settings_version;
+    let era = state.store_era();
+    let from = request.upstreams_from.max(StorePosition::new(era, 0));
     let response = ChangeResponse {
+        era,
         settings: if has_newer_settings {
             state.settings_raw.to_vec()
         } else {
@@ -294,10 +314,10 @@
         upstreams: state
             .upstreams_raw
             .iter()
-            .filter(|(_, raw)| raw.offset >= request.upstreams_from)
+            .filter(|(_, raw)| raw.position >= from)
             .map(|(key, raw)| {
                 let value = raw.value.as_ref().map(|value| value.to_vec());
-                (key.clone(), raw.offset, value)
+                (key.clone(), raw.position.offset, value)
             })
             .collect(),
         upstreams_offset: state.upstreams_offset,
--- a/marigoldlock/src/gateway/codec.rs
+++ b/marigoldlock/src/gateway/codec.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 /// Version of the messages; must be changed whenever a message type changes.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 
 /// Largest message, in bytes: a complete listing of a fleet of the target size, with its settings.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
--- a/marigoldlock/src/gateway/crash_log.rs
+++ b/marigoldlock/src/gateway/crash_log.rs
@@ -25,10 +25,14 @@
 pub async fn keep_blocks(gateway: Arc<Gateway>) {
     let mut log = CrashLog {
         stored: FastMap::default(),
+        era: StoreEra::default(),
         gateway,
     };
-    log.read().await;
     let mut backoff = RetryBackoff::default();
+    while let Err(err) = log.read(true).await {
+        log::debug!(error:% = err; "reading the blocks from the store failed; retrying");
+        backoff.wait().await;
+    }
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         match log.write_changes().await {
@@ -45,37 +49,36 @@
     gateway: Arc<Gateway>,
     /// Blocks in the store by key, as far as this instance knows.
     stored: FastMap<String, CrashBlock>,
+    /// Era in which they were read.
+    era: StoreEra,
 }
 
 impl CrashLog {
-    async fn read(&mut self) {
-        let mut backoff = RetryBackoff::default();
-        loop {
-            match self.gateway.parts.store.list(StoreStream::Crashes).await {
-                Ok(listing) => {
-                    for record in listing.records {
-                        if let Some(value) = record.value {
-                            self.add_stored(record.key, &value);
-                        }
-                    }
-                    return;
-                }
-                Err(err) => {
-                    log::debug!(error:% = err; "reading the blocks from the store failed; retrying");
-                    backoff.wait().await;
-                }
+    /// Reads what the store holds, and `adopts` it if this instance has just started. Later the instances know better than a
+    /// store that has come back from a copy.
+    async fn read(&mut self, adopts: bool) -> Result<(), StoreError> {
+        let listed = self.gateway.parts.store.list(StoreStream::Crashes).await;
+        let listing = self.gateway.check_era(listed)?;
+        self.era = listing.era;
+        self.stored.clear();
+        for record in listing.records {
+            if let Some(value) = record.value {
+                self.add_stored(record.key, &value, adopts);
             }
         }
+        Ok(())
     }
 
     /// Takes over a block; a damaged one is left alone and affects no other.
-    fn add_stored(&mut self, key: String, value: &Bytes) {
+    fn add_stored(&mut self, key: String, value: &Bytes, adopts: bool) {
         match parse_block(&key, value, self.gateway.fleet_unix_ms()) {
             Ok(block) => {
                 self.stored.insert(key, block.clone());
-                self.gateway.change_crashes(|table, time| {
-                    table.add_block(block, time);
-                });
+                if adopts {
+                    self.gateway.change_crashes(|table, time| {
+                        table.add_block(block, time);
+                    });
+                }
             }
             Err(err) => log::warn!(key, error:% = err; "a block in the store is damaged; ignored"),
         }
@@ -86,6 +89,9 @@
         if !self.is_writer() {
             return Ok(());
         }
+        if self.era != self.gateway.store_era() {
+            self.read(false).await?;
+        }
         let blocks = self.gateway.state().crashes.blocks().to_vec();
         let blocks: FastMap<String, CrashBlock> = blocks
             .into_iter()
@@ -98,11 +104,7 @@
             let Ok(value) = serde_json::to_vec(block) else {
                 continue;
             };
-            self.gateway
-                .parts
-                .store
-                .put(StoreStream::Crashes, key, &value)
-                .await?;
+            self.put(key, &value).await?;
             log::info!(suspects:? = block.suspects; "block written to the store");
             self.stored.insert(key.clone(), block.clone());
         }
@@ -113,16 +115,25 @@
             .cloned()
             .collect();
         for key in ended {
-            self.gateway
-                .parts
-                .store
-                .put(StoreStream::Crashes, &key, &[])
-                .await?;
+            self.put(&key, &[]).await?;
             self.stored.remove(&key);
         }
         Ok(())
     }
 
+    async fn put(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let put = self
+            .gateway
+            .parts
+            .store
+            .put(StoreStream::Crashes, key, value)
+            .await;
+        match self.gateway.check_era(put)? {
+            era if era == self.era => Ok(()),
+            era => Err(StoreError::OtherEra(era)),
+        }
+    }
+
     fn is_writer(&self) -> bool {
         let state = self.gateway.state();
         let view = FleetView {
--- a/marigoldlock/src/gateway/cursor.rs
+++ b/marigoldlock/src/gateway/cursor.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use marigoldlock_core::gateway::prelude::*;
 use tokio::time::Instant;
 
 /// Period in which each follower ends one long poll, in turn, and starts a new one. Long polls were seen to
@@ -49,18 +50,29 @@
 pub enum NextCall {
     /// Lists the newest record of each key.
     List,
-    /// Reads from an offset on and waits this long for a record.
-    Follow(u64, Duration),
+    /// Reads from a position on and waits this long for a record.
+    Follow(StorePosition, Duration),
 }
 
 /// Read position of a follower.
 #[derive(Debug, Default)]
 pub struct FollowCursor {
+    era: StoreEra,
     next: Option<u64>,
     relist_at: VecDeque<Instant>,
 }
 
 impl FollowCursor {
+    /// Enters an era of the store, whose content is listed first; does nothing if the cursor is in this era.
+    pub fn enter_era(&mut self, era: StoreEra) {
+        if self.era != era {
+            *self = Self {
+                era,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Returns the next call at `now`; `wait` is the wait of a long poll.
     pub fn next_call(&mut self, now: Instant, wait: Duration) -> NextCall {
         let Some(next) = self.next else {
@@ -71,8 +83,8 @@
                 self.relist_at.pop_front();
                 NextCall::List
             }
-            Some(due) => NextCall::Follow(next, wait.min(*due - now)),
-            None => NextCall::Follow(next, wait),
+            Some(due) => NextCall::Follow(StorePosition::new(self.era, next), wait.min(*due - now)),
+            None => NextCall::Follow(StorePosition::new(self.era, next), wait),
         }
     }
 
--- a/marigoldlock/src/gateway/duty_log.rs
+++ b/marigoldlock/src/gateway/duty_log.rs
@@ -4,6 +4,7 @@
 
 use marigoldlock_core::gateway::adapter::{AppendOutcome, StoreError, StoreStream};
 use marigoldlock_core::gateway::duty::DutyRecord;
+use marigoldlock_core::gateway::era::StorePosition;
 
 use super::Gateway;
 
@@ -37,10 +38,10 @@
             .gateway
             .parts
             .store
-            .append_at(StoreStream::Duties, &bytes, end)
+            .append_at(StoreStream::Duties, &bytes, self.position(end))
             .await
         {
-            Ok(AppendOutcome::Appended(offset)) => {
+            Ok(AppendOutcome::Appended(StorePosition { offset, .. })) => {
                 self.failures = 0;
                 let now = self.gateway.now();
                 let card = &self.gateway.parts.card;
@@ -50,7 +51,7 @@
                 true
             }
             Ok(AppendOutcome::EndMismatch(actual)) => {
-                log::info!(expected = end, actual; "the duties stream has new records; reading it again");
+                log::info!(expected = end, actual:%; "the duties stream has new records; reading it again");
                 self.read().await;
                 self.check_authority();
                 false
@@ -66,6 +67,10 @@
         }
     }
 
+    fn position(&self, offset: u64) -> StorePosition {
+        StorePosition::new(self.gateway.store_era(), offset)
+    }
+
     /// Releases the duties if the latest claim belongs to another instance.
     fn check_authority(&mut self) {
         let card = &self.gateway.parts.card;
@@ -95,7 +100,8 @@
     pub async fn read(&mut self) -> bool {
         loop {
             let offset = self.gateway.state().duty_state.next_offset();
-            let batch = match self.gateway.parts.store.read(StoreStream::Duties, offset).await {
+            let from = self.position(offset);
+            let batch = match self.gateway.parts.store.read(StoreStream::Duties, from).await {
                 Ok(batch) => batch,
                 Err(StoreError::Gone(first)) => {
                     self.gateway.state().duty_state.skip_to(first);
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigoldlock_core::gateway::adapter::KeyedRecord;
+use marigoldlock_core::gateway::adapter::{KeyedListing, KeyedRecord};
 use marigoldlock_core::gateway::catalog::CatalogChange;
+use marigoldlock_core::gateway::era::EntryDate;
 use marigoldlock_core::gateway::exchange::{FleetView, heartbeat_interval};
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::news::MAX_GAPLESS_AGE;
@@ -77,24 +78,27 @@
             tokio::time::sleep(FOLLOWER_CHECK_INTERVAL).await;
             continue;
         }
-        cursor.skip_to(known_offset(gateway, stream));
+        let era_changed = gateway.era_changed.notified();
+        let known = known_position(gateway, stream);
+        cursor.enter_era(known.era);
+        cursor.skip_to(known.offset);
         let called_at = gateway.now();
-        let result = match cursor.next_call(tokio::time::Instant::now(), long_poll_wait(gateway)) {
-            NextCall::List => {
-                let listed = gateway.parts.store.list(stream).await;
-                listed.map(|listing| (listing, true, Duration::ZERO))
-            }
-            NextCall::Follow(offset, wait) => {
-                let followed = gateway.parts.store.follow(stream, offset, wait).await;
-                followed.map(|listing| (listing, false, wait))
-            }
+        let next_call = cursor.next_call(tokio::time::Instant::now(), long_poll_wait(gateway));
+        let (answer, is_listing, wait) = match next_call {
+            NextCall::List => (gateway.parts.store.list(stream).await, true, Duration::ZERO),
+            NextCall::Follow(from, wait) => tokio::select! {
+                answer = gateway.parts.store.follow(stream, from, wait) => (answer, false, wait),
+                // The answer would be of no use.
+                () = era_changed => continue,
+            },
         };
-        match result {
-            Ok((listing, is_listing, wait)) => {
+        match gateway.check_era(answer) {
+            Ok(listing) => {
                 backoff.reset();
                 record_store_success(gateway, stream);
+                cursor.enter_era(listing.era);
                 cursor.advance(listing.next_offset, is_listing);
-                apply_records(gateway, stream, &listing.records, listing.next_offset, is_listing);
+                apply_records(gateway, stream, &listing, is_listing);
                 if stream == StoreStream::Upstreams {
                     // A poll without records has ended at the store, after its wait.
                     let waited = if listing.records.is_empty() {
@@ -115,6 +119,8 @@
                 }
                 cursor.restart(first, tokio::time::Instant::now());
             }
+            // The next call lists the stream. Answers of an earlier era may still arrive.
+            Err(StoreError::OtherEra(_)) => backoff.wait().await,
             Err(err) => {
                 record_store_failure(gateway, stream, &err);
                 backoff.wait().await;
@@ -138,12 +144,13 @@
     state.stage == MemberStage::Starting || state.is_follower(&gateway.parts.card, now)
 }
 
-fn known_offset(gateway: &Gateway, stream: StoreStream) -> u64 {
+fn known_position(gateway: &Gateway, stream: StoreStream) -> StorePosition {
     let state = gateway.state();
-    match stream {
+    let offset = match stream {
         StoreStream::Settings => state.settings_offset,
         _ => state.upstreams_offset,
-    }
+    };
+    StorePosition::new(state.store_era(), offset)
 }
 
 /// Timeout of the next long poll, which ends in this follower's time slot so that polls are spread.
@@ -171,17 +178,27 @@
             return;
         }
     };
-    while let Err(err) = gateway
-        .parts
-        .store
-        .put(StoreStream::Members, card.id.as_str(), &value)
-        .await
-    {
-        log::debug!(error:% = err; "writing the member card to the store failed; retrying");
-        backoff.wait().await;
-    }
+    // Era in which the card was written.
+    let mut written = None;
     loop {
-        match gateway.parts.store.list(StoreStream::Members).await {
+        let era_changed = gateway.era_changed.notified();
+        if written.is_none_or(|era| era < gateway.store_era()) {
+            let put = gateway
+                .parts
+                .store
+                .put(StoreStream::Members, card.id.as_str(), &value)
+                .await;
+            match gateway.check_era(put) {
+                Ok(era) => written = Some(era),
+                Err(err) => {
+                    log::debug!(error:% = err; "writing the member card to the store failed; retrying");
+                    backoff.wait().await;
+                    continue;
+                }
+            }
+        }
+        let listed = gateway.parts.store.list(StoreStream::Members).await;
+        match gateway.check_era(listed) {
             Ok(listing) => {
                 backoff.reset();
                 for record in &listing.records {
@@ -189,7 +206,10 @@
                 }
                 gateway.state().has_member_list = true;
                 let instances = u32::try_from(gateway.state().instances()).unwrap_or(u32::MAX);
-                tokio::time::sleep(MEMBER_LIST_INTERVAL * instances).await;
+                tokio::select! {
+                    () = tokio::time::sleep(MEMBER_LIST_INTERVAL * instances) => {}
+                    () = era_changed => {}
+                }
             }
             Err(err) => {
                 log::debug!(error:% = err; "reading the member list failed; retrying");
@@ -215,16 +235,12 @@
 }
 
 /// Applies records of a stream. A complete listing also removes what it doesn't contain.
-pub fn apply_records(
-    gateway: &Gateway,
-    stream: StoreStream,
-    records: &[KeyedRecord],
-    next_offset: u64,
-    is_listing: bool,
-) {
+pub fn apply_records(gateway: &Gateway, stream: StoreStream, listing: &KeyedListing, is_listing: bool) {
+    let next = StorePosition::new(listing.era, listing.next_offset);
     match stream {
         StoreStream::Settings => {
-            for record in records
+            for record in listing
+                .records
                 .iter()
                 .filter(|record| record.key == gateway.parts.record_format.settings_key())
             {
@@ -233,9 +249,11 @@
                 }
             }
             let mut state = gateway.state();
-            state.settings_offset = state.settings_offset.max(next_offset);
+            if state.store_era() == next.era {
+                state.settings_offset = state.settings_offset.max(next.offset);
+            }
         }
-        StoreStream::Upstreams => apply_upstreams(gateway, records, next_offset, is_listing),
+        StoreStream::Upstreams => apply_upstreams(gateway, &listing.records, next, is_listing),
         StoreStream::Members
         | StoreStream::Crashes
         | StoreStream::Versions
@@ -265,18 +283,21 @@
     state.settings_raw = value.clone();
 }
 
-fn apply_upstreams(gateway: &Gateway, records: &[KeyedRecord], next_offset: u64, is_listing: bool) {
+/// Applies records of upstreams up to the position `next`. A complete listing also removes what it doesn't contain.
+pub fn apply_upstreams(gateway: &Gateway, records: &[KeyedRecord], next: StorePosition, is_listing: bool) {
     for record in records {
-        apply_upstream(gateway, record);
+        apply_upstream(gateway, record, next.era);
     }
     // A listing that is older than the known state can't tell which upstreams were removed.
-    if is_listing && next_offset >= gateway.state().upstreams_offset {
-        for record in find_removed(gateway, records, next_offset) {
-            apply_upstream(gateway, &record);
+    if is_listing && next >= gateway.state().upstreams_position() {
+        for record in find_removed(gateway, records, next.offset) {
+            apply_upstream(gateway, &record, next.era);
         }
     }
     let mut state = gateway.state();
-    state.upstreams_offset = state.upstreams_offset.max(next_offset);
+    if state.store_era() == next.era {
+        state.upstreams_offset = state.upstreams_offset.max(next.offset);
+    }
 }
 
 /// Returns removals for the upstreams that a complete listing no longer contains; the store has dropped their
@@ -297,23 +318,42 @@
         .collect()
 }
 
-/// Applies one record of an upstream, unless a newer one is known.
-pub fn apply_upstream(gateway: &Gateway, record: &KeyedRecord) {
+/// Applies one record of an upstream that was read in `era`, unless a newer one is known.
+fn apply_upstream(gateway: &Gateway, record: &KeyedRecord, era: StoreEra) {
     let now = gateway.now();
+    let format = &gateway.parts.record_format;
     let mut state = gateway.state();
     let state = &mut *state;
     let raw = RawRecord {
-        offset: record.offset,
+        position: StorePosition::new(era, record.offset),
         value: record.value.clone(),
     };
+    let before = state
+        .upstreams_raw
+        .get(&record.key)
+        .and_then(|known| known.value.clone());
     if !state.put_raw_record(&record.key, raw) {
         return;
     }
     let entry = record
         .value
         .as_ref()
-        .map(|value| gateway.parts.record_format.upstream(&record.key, value));
+        .map(|value| format.upstream(&record.key, value));
+    let date = |started_ms, value: Option<&Bytes>| EntryDate {
+        started_ms,
+        writes: value.and_then(|value| format.entry_writes(value)),
+    };
     let change = match entry {
+        Some(Ok(entry))
+            if state.departures.is_outdated(
+                &record.key,
+                era,
+                date(entry.started_ms, record.value.as_ref()),
+            ) =>
+        {
+            log::info!(upstream = record.key, era:%; "the store has lost the removal of an upstream; it stays removed");
+            state.catalog.remove(&record.key, now, None)
+        }
         Some(Ok(entry)) => {
             let id = entry.id.clone();
             let change = state.catalog.put(entry);
@@ -333,7 +373,16 @@
         }
         None => {
             let store_recovered_at = state.last_store_recovery(&gateway.parts.card, now);
-            state.catalog.remove(&record.key, now, store_recovered_at)
+            let started_ms = state.catalog.get(&record.key).map(|entry| entry.started_ms);
+            let change = state.catalog.remove(&record.key, now, store_recovered_at);
+            if change == CatalogChange::Gone
+                && let Some(started_ms) = started_ms
+            {
+                state
+                    .departures
+                    .record(&record.key, era, date(started_ms, before.as_ref()), now);
+            }
+            change
         }
     };
     if change != CatalogChange::None {
--- a/marigoldlock/src/gateway/heartbeats.rs
+++ b/marigoldlock/src/gateway/heartbeats.rs
@@ -14,6 +14,7 @@
     Heartbeat, MemberReport, ReportPath, StoreContact, UpstreamWork, age_ms,
 };
 use marigoldlock_core::gateway::origins::{StreamKey, StreamOrigin};
+use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::state::{UpstreamKey, WorkInFlight};
 use marigoldlock_core::gateway::usage::WindowCounts;
 use marigoldlock_core::prelude::*;
@@ -297,6 +298,9 @@
     if sender.id == *own {
         return;
     }
+    if let Some(era) = newest_era(&heartbeat) {
+        gateway.enter_era(era);
+    }
     let mut state = gateway.state();
     state.fleet_clock.record(&sender.id, heartbeat.unix_ms, now);
     let source = (sender.id.clone(), sender.incarnation);
@@ -326,9 +330,15 @@
     }
 }
 
+/// The newest era of the store that the reports of a heartbeat know of; `None` if none has reached the store.
+fn newest_era(heartbeat: &Heartbeat) -> Option<StoreEra> {
+    let reports = heartbeat.forwarded.iter().chain([&heartbeat.own]);
+    reports.filter_map(|report| report.sync_state.era).max()
+}
+
 fn record_report(state: &mut GatewayState, report: MemberReport, path: ReportPath, now: MonoTime) {
     let (id, stage, incarnation) = (report.card.id.clone(), report.stage, report.card.incarnation);
-    if let Some(age) = report.news_age(state.upstreams_offset) {
+    if let Some(age) = report.news_age(state.upstreams_position()) {
         state.upstreams_date.confirm(now - age);
     }
     state.allowances.record_contact(&id, now);
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod cursor;
 mod duties;
 mod duty_log;
+mod era;
 mod follow;
 mod forward;
 mod heartbeats;
@@ -158,6 +159,8 @@
     work_changed: Notify,
     /// Notified when another instance has different settings or upstreams.
     peer_sync_differs: Notify,
+    /// Notified when the store has come back from a copy.
+    era_changed: Notify,
     /// Notified when other instances are to be told or asked of streams.
     origins_pending: Notify,
     /// Notified when another instance has told of streams.
@@ -259,6 +262,7 @@
             connections: Mutex::new(ConnectionPool::default()),
             work_changed: Notify::new(),
             peer_sync_differs: Notify::new(),
+            era_changed: Notify::new(),
             origins_pending: Notify::new(),
             origins_changed: Notify::new(),
             renewing: tokio::sync::Mutex::default(),
@@ -298,6 +302,11 @@
         Ok(Self { gateway, background })
     }
 
+    /// Name of the instance, under which it holds the duties.
+    pub fn name(&self) -> &str {
+        self.gateway.parts.card.id.as_str()
+    }
+
     /// Addresses that the instance listens on.
     pub fn addresses(&self) -> GatewayAddresses {
         self.gateway.parts.addresses
--- a/marigoldlock/src/gateway/origin_log.rs
+++ b/marigoldlock/src/gateway/origin_log.rs
@@ -55,7 +55,7 @@
             }
         };
         let appended = gateway.parts.store.append(StoreStream::Origins, &record).await;
-        if let Err(err) = appended {
+        if let Err(err) = gateway.check_era(appended) {
             gateway.state().origins.return_unstored(origins);
             return Err(err);
         }
@@ -66,8 +66,8 @@
 /// Outcome of the latest reads of the store.
 #[derive(Debug, Default)]
 pub struct LookupState {
-    /// Offset up to which the origins have been read.
-    next_offset: u64,
+    /// Position up to which the origins have been read.
+    next: StorePosition,
     /// When the latest reads began, and whether they succeeded.
     latest: Option<(MonoTime, bool)>,
 }
@@ -99,7 +99,7 @@
             return is_complete;
         }
         let began_at = self.now();
-        let read = tokio::time::timeout(LOOKUP_TIMEOUT, self.read_store(&mut lookup.next_offset)).await;
+        let read = tokio::time::timeout(LOOKUP_TIMEOUT, self.read_store(&mut lookup.next)).await;
         let is_complete = match read {
             Ok(Ok(())) => true,
             Ok(Err(err)) => {
@@ -120,23 +120,33 @@
         is_complete
     }
 
-    async fn read_store(&self, next_offset: &mut u64) -> Result<(), StoreError> {
-        self.read_origins(next_offset).await?;
+    async fn read_store(&self, next: &mut StorePosition) -> Result<(), StoreError> {
+        self.read_origins(next).await?;
         self.read_upstreams().await
     }
 
     /// Reads the upstreams up to the end that their stream had when the first response was sent.
     async fn read_upstreams(&self) -> Result<(), StoreError> {
         let store = &self.parts.store;
-        let mut offset = self.state().upstreams_offset;
+        let from = self.state().upstreams_position();
+        let mut offset = from.offset;
         let mut end = None;
         loop {
-            let listing = store
-                .follow(StoreStream::Upstreams, offset, Duration::ZERO)
-                .await?;
+            let is_listing = offset == 0;
+            let answer = if is_listing {
+                // Nothing has been read in this era.
+                store.list(StoreStream::Upstreams).await
+            } else {
+                let from = StorePosition::new(from.era, offset);
+                store.follow(StoreStream::Upstreams, from, Duration::ZERO).await
+            };
+            let listing = self.check_era(answer)?;
+            if listing.era != from.era {
+                return Err(StoreError::OtherEra(listing.era));
+            }
             let next_offset = listing.next_offset;
             // Each record in between is applied in turn, so a version that came and went is seen as well.
-            apply_records(self, StoreStream::Upstreams, &listing.records, next_offset, false);
+            apply_records(self, StoreStream::Upstreams, &listing, is_listing);
             if next_offset >= *end.get_or_insert(listing.end_offset) {
                 return Ok(());
             }
@@ -148,13 +158,18 @@
         }
     }
 
-    async fn read_origins(&self, next_offset: &mut u64) -> Result<(), StoreError> {
+    async fn read_origins(&self, next: &mut StorePosition) -> Result<(), StoreError> {
         let store = &self.parts.store;
         loop {
-            let batch = match store.read(StoreStream::Origins, *next_offset).await {
+            let era = self.store_era();
+            if next.era != era {
+                *next = StorePosition::new(era, 0);
+            }
+            let read = store.read(StoreStream::Origins, *next).await;
+            let batch = match self.check_era(read) {
                 // Older streams have ended.
-                Err(StoreError::Gone(first)) if first > *next_offset => {
-                    *next_offset = first;
+                Err(StoreError::Gone(first)) if first > next.offset => {
+                    next.offset = first;
                     continue;
                 }
                 read => read?,
@@ -168,7 +183,7 @@
                     }
                 }
             }
-            *next_offset = batch.next_offset;
+            next.offset = batch.next_offset;
             if batch.next_offset >= batch.end_offset {
                 return Ok(());
             }
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use marigoldlock_core::gateway::clock::FleetClock;
 use marigoldlock_core::gateway::crashes::CrashTable;
 use marigoldlock_core::gateway::duty::DutyState;
+use marigoldlock_core::gateway::era::DepartureTable;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::hedge::HedgeState;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage, MemberTable, SyncState};
@@ -30,6 +31,7 @@
 use crate::logging::DECISION_TARGET;
 
 use super::crash_check::BrokenAttempt;
+use super::era::EraChange;
 
 /// Longest time for which a stream may go on, as a multiple of the longest timeout of a route: a caller's time may be
 /// longer than the route's.
@@ -41,8 +43,8 @@
 /// Record of an upstream as it is in the store, kept for instances that don't read the store.
 #[derive(Clone, Debug)]
 pub struct RawRecord {
-    /// Offset in the stream.
-    pub offset: u64,
+    /// Position in the stream.
+    pub position: StorePosition,
     /// Value; `None` if the upstream was removed.
     pub value: Option<Bytes>,
 }
@@ -62,10 +64,14 @@
     pub catalog: UpstreamCatalog,
     /// The upstreams' records as they are in the store.
     pub upstreams_raw: FastMap<String, RawRecord>,
-    /// Offset up to which the settings stream has been read.
+    /// Newest era of the store; `None` before the first contact.
+    era: Option<StoreEra>,
+    /// Offset up to which the settings stream has been read in this era.
     pub settings_offset: u64,
-    /// Offset up to which the upstreams stream has been read.
+    /// Offset up to which the upstreams stream has been read in this era; 0 before its first listing.
     pub upstreams_offset: u64,
+    /// Upstreams that were removed.
+    pub departures: DepartureTable,
     /// Digest of the records of the listed upstreams.
     upstreams_digest: u64,
     /// When the listing of upstreams was last known to be complete.
@@ -264,10 +270,41 @@
         }
     }
 
+    /// The newest era of the store that this instance knows of.
+    pub fn store_era(&self) -> StoreEra {
+        self.era.unwrap_or_default()
+    }
+
+    /// Position up to which the upstreams stream has been read.
+    pub fn upstreams_position(&self) -> StorePosition {
+        StorePosition::new(self.store_era(), self.upstreams_offset)
+    }
+
+    /// Enters an era of the store if it is newer than the present one.
+    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) -> Option<EraChange> {
+        let Some(before) = self.era else {
+            self.era = Some(era);
+            return Some(EraChange::First);
+        };
+        if era <= before {
+            return None;
+        }
+        self.era = Some(era);
+        self.settings_offset = 0;
+        self.upstreams_offset = 0;
+        // Entries that the copy lacks are written again, as those that lapsed in an outage.
+        self.store.record_recovery(now);
+        // Upstreams may have come and gone in records that are lost.
+        self.forget_versions(now);
+        self.origins.store_again();
+        Some(EraChange::Later(before))
+    }
+
     /// Versions of the settings and upstreams that this instance has.
     pub fn sync_state(&self) -> SyncState {
         SyncState {
             settings_version: self.settings.as_ref().map_or(0, |settings| settings.version),
+            era: self.era,
             settings_offset: self.settings_offset,
             upstreams_offset: self.upstreams_offset,
             upstreams_digest: self.upstreams_digest,
@@ -277,7 +314,7 @@
     /// Stores a record of an upstream if it is newer than the known one; returns false if it isn't.
     pub fn put_raw_record(&mut self, key: &str, raw: RawRecord) -> bool {
         let known = self.upstreams_raw.get(key);
-        if known.is_some_and(|known| known.offset >= raw.offset) {
+        if known.is_some_and(|known| known.position >= raw.position) {
             return false;
         }
         let before = known.map_or(0, |known| digest(key, known));
@@ -325,6 +362,6 @@
         return 0;
     }
     let mut hasher = rustc_hash::FxHasher::default();
-    (key, raw.offset).hash(&mut hasher);
+    (key, raw.position).hash(&mut hasher);
     hasher.finish()
 }
--- a/marigoldlock/src/gateway/tests.rs
+++ b/marigoldlock/src/gateway/tests.rs
@@ -12,6 +12,7 @@
 use marigoldlock_core::gateway::crashes::{CrashReport, CrashTable, FleetTime, ReportScope};
 use marigoldlock_core::gateway::intake::{ClientKind, IntakeLimits, MachineSize};
 use marigoldlock_core::gateway::members::{Heartbeat, MemberCard, MemberReport, MemberStage};
+use marigoldlock_core::gateway::prelude::*;
 use marigoldlock_core::gateway::state::UpstreamKey;
 use marigoldlock_core::gateway::usage::WindowCounts;
 use marigoldlock_core::prelude::*;
@@ -25,15 +26,42 @@
 
 const WAIT: Duration = Duration::from_secs(10);
 
+/// A position of the era in which the store is at first.
+fn position(offset: u64) -> StorePosition {
+    StorePosition::new(StoreEra::default(), offset)
+}
+
+/// Guards against a cursor of an earlier era, also when a second one follows at once.
+#[test]
+fn a_follower_lists_again_in_each_era() {
+    let now = Instant::now();
+    let mut cursor = FollowCursor::default();
+    cursor.advance(40, true);
+    for era in [StoreEra(1), StoreEra(2)] {
+        cursor.enter_era(era);
+        assert_eq!(cursor.next_call(now, WAIT), NextCall::List);
+    }
+    cursor.advance(12, true);
+    cursor.enter_era(StoreEra(2));
+    let expected = StorePosition::new(StoreEra(2), 12);
+    assert_eq!(cursor.next_call(now, WAIT), NextCall::Follow(expected, WAIT));
+}
+
 #[test]
 fn a_follower_lists_once_and_then_reads_on() {
     let now = Instant::now();
     let mut cursor = FollowCursor::default();
     assert_eq!(cursor.next_call(now, WAIT), NextCall::List);
     cursor.advance(40, true);
-    assert!(matches!(cursor.next_call(now, WAIT), NextCall::Follow(40, _)));
+    assert!(matches!(
+        cursor.next_call(now, WAIT),
+        NextCall::Follow(from, _) if from == position(40)
+    ));
     cursor.advance(42, false);
-    assert!(matches!(cursor.next_call(now, WAIT), NextCall::Follow(42, _)));
+    assert!(matches!(
+        cursor.next_call(now, WAIT),
+        NextCall::Follow(from, _) if from == position(42)
+    ));
 }
 
 #[test]
@@ -45,9 +73,10 @@
     assert_eq!(cursor.next_call(now, WAIT), NextCall::List);
     // The listing is stale; reading continues at the first retained record.
     cursor.advance(45, true);
-    let NextCall::Follow(54, wait) = cursor.next_call(now, WAIT) else {
+    let NextCall::Follow(from, wait) = cursor.next_call(now, WAIT) else {
         panic!("reading should continue at 54")
     };
+    assert_eq!(from, position(54));
     assert!(wait < Duration::from_secs(1), "the next listing is due soon");
     let mut listings = 0;
     for millis in (0..10_000).step_by(100) {
@@ -66,7 +95,10 @@
     cursor.restart(0, now);
     assert_eq!(cursor.next_call(now, WAIT), NextCall::List);
     cursor.advance(12, true);
-    assert!(matches!(cursor.next_call(now, WAIT), NextCall::Follow(12, _)));
+    assert!(matches!(
+        cursor.next_call(now, WAIT),
+        NextCall::Follow(from, _) if from == position(12)
+    ));
 }
 
 #[test]
--- a/marigoldlock/src/gateway/version_log.rs
+++ b/marigoldlock/src/gateway/version_log.rs
@@ -26,13 +26,14 @@
 pub async fn keep_versions(gateway: Arc<Gateway>) {
     let mut log = VersionLog {
         stored: FastMap::default(),
-        end: 0,
+        end: StorePosition::default(),
         gateway,
     };
     let mut backoff = RetryBackoff::default();
     let mut is_current = false;
     let mut is_first_read = true;
     loop {
+        is_current &= log.end.era == log.gateway.store_era();
         let result = if is_first_read || log.is_writer() && !is_current {
             log.read(is_first_read).await
         } else if is_current {
@@ -60,16 +61,17 @@
     gateway: Arc<Gateway>,
     /// Versions in the store, as far as this instance knows.
     stored: FastMap<ServiceId, SoftwareVersion>,
-    /// Offset at which the stream ends, as far as this instance knows. A write that is carried out late, or that rests on
+    /// Position at which the stream ends, as far as this instance knows. A write that is carried out late, or that rests on
     /// what another instance has changed since, fails by it.
-    end: u64,
+    end: StorePosition,
 }
 
 impl VersionLog {
     /// Reads the versions; `adopts` them if this instance has just started. Returns true.
     async fn read(&mut self, adopts: bool) -> Result<bool, StoreError> {
-        let listing = self.gateway.parts.store.list(StoreStream::Versions).await?;
-        self.end = listing.next_offset;
+        let listed = self.gateway.parts.store.list(StoreStream::Versions).await;
+        let listing = self.gateway.check_era(listed)?;
+        self.end = StorePosition::new(listing.era, listing.next_offset);
         self.stored.clear();
         for record in listing.records {
             let Some(value) = record.value.filter(|value| !value.is_empty()) else {
@@ -111,10 +113,10 @@
                 value.as_bytes(),
                 self.end,
             );
-            match put.await? {
-                AppendOutcome::Appended(offset) => self.end = offset + 1,
+            match self.gateway.check_era(put.await)? {
+                AppendOutcome::Appended(position) => self.end = position.next(),
                 AppendOutcome::EndMismatch(end) => {
-                    log::info!(end; "another instance has written versions to the store; reading them again");
+                    log::info!(end:%; "another instance has written versions to the store; reading them again");
                     return Ok(false);
                 }
             }
--- a/marigoldlock/tests/platform.rs
+++ b/marigoldlock/tests/platform.rs
@@ -715,7 +715,7 @@
                 crashes: CrashReport::default(),
             };
             // The version of the messages, and the first kind of datagram.
-            let mut bytes = vec![7, 0];
+            let mut bytes = vec![8, 0];
             bincode::serde::encode_into_std_write(&heartbeat, &mut bytes, bincode::config::standard())
                 .unwrap();
             socket.send_to(&bytes, target).await.unwrap();
--- /dev/null
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -0,0 +1,152 @@
+//! A store that comes back from a copy some seconds old: what was written since is gone, offsets are given out again, and the
+//! era in its answers has risen.
+
+mod platform_support;
+
+use std::time::Duration;
+
+use marigoldlock_standin::site::site_settings;
+use platform_support::{Site, wait_until};
+
+/// Time after its notice from which a leaving upstream gets no requests, by the platform's page.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Guards against requests to an upstream that leaves after the store came back: its record had a lower offset than the one
+/// that the store had lost, and was dropped as older.
+#[tokio::test]
+async fn an_upstream_that_leaves_after_the_store_came_back_gets_no_requests() {
+    let site = Site::start(2).await;
+    let copy = site.store.copy();
+    for round in 0..4 {
+        let mut entry = site.runner("a1").entry("ready");
+        entry["Version"] = format!("lost{round}").into();
+        site.store.put_upstream("a1", Some(&entry));
+    }
+    site.store
+        .put_upstream("a2", Some(&site.runner("a2").entry("ready")));
+    wait_for_entries(&site, 5).await;
+    // The second instance learns of everything from the first.
+    site.store.set_endpoint_refusal(1, Some(503));
+    site.store.restore(&copy);
+    for id in ["a1", "a2"] {
+        site.store.put_upstream(id, Some(&site.runner(id).entry("ready")));
+    }
+    wait_for_entries(&site, 5).await;
+    site.store
+        .put_upstream("a1", Some(&site.runner("a1").entry("draining")));
+    tokio::time::sleep(DRAIN_BOUND).await;
+    let before = site.runner("a1").arrivals().len();
+    for number in 0..20 {
+        for instance in 0..2 {
+            let attempt = format!("late{instance}{number}");
+            assert_eq!(site.send(instance, "/look/x", &attempt).await.status(), 200);
+        }
+    }
+    assert_eq!(
+        site.runner("a1").arrivals().len(),
+        before,
+        "requests to the leaving upstream"
+    );
+}
+
+/// Waits until all instances list so many upstreams, and for what is on its way to them.
+async fn wait_for_entries(site: &Site, count: usize) {
+    for instance in &site.instances {
+        wait_until("the upstreams are listed", || {
+            instance.usable_upstreams() == count
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+}
+
+/// Guards against requests to an upstream whose removal the store has lost, and to one whose notice it has lost.
+#[tokio::test]
+async fn upstreams_that_have_left_do_not_return_from_a_copy() {
+    let site = Site::start(2).await;
+    let copy = site.store.copy();
+    site.store.put_upstream("a1", None);
+    site.store
+        .put_upstream("d1", Some(&site.runner("d1").entry("draining")));
+    wait_for_entries(&site, 3).await;
+    site.store.restore(&copy);
+    // Written after the copy, so that its arrival shows that the listing has been read again.
+    site.store.put_settings(&site_settings(40));
+    for instance in &site.instances {
+        wait_until("the settings are read again", || {
+            instance.settings_version() == 40
+        })
+        .await;
+    }
+    wait_for_entries(&site, 3).await;
+    // A new start under the same id is another matter.
+    let mut entry = site.runner("a1").entry("ready");
+    entry["born"] = 77.into();
+    site.store.put_upstream("a1", Some(&entry));
+    wait_for_entries(&site, 4).await;
+}
+
+/// Guards against an upstream that is dropped for good because the store has lost its entry.
+#[tokio::test]
+async fn an_upstream_whose_entry_was_lost_is_used_again() {
+    let site = Site::start(2).await;
+    let copy = site.store.copy();
+    let mut entry = site.runner("a2").entry("ready");
+    entry["born"] = 5.into();
+    site.store.put_upstream("x9", Some(&entry));
+    wait_for_entries(&site, 6).await;
+    site.store.restore(&copy);
+    wait_for_entries(&site, 5).await;
+    site.store.put_upstream("x9", Some(&entry));
+    wait_for_entries(&site, 6).await;
+}
+
+/// Guards against older settings, with a key that has been withdrawn since, when the store comes back with them.
+#[tokio::test]
+async fn settings_never_go_back_to_those_of_a_copy() {
+    let site = Site::start(2).await;
+    let mut settings = site_settings(20);
+    settings["Tenants"][0]["ApiKeys"] =
+        serde_json::json!(["withdrawn", marigoldlock_standin::site::SITE_KEY]);
+    site.store.put_settings(&settings);
+    for instance in &site.instances {
+        wait_until("the key is added", || instance.settings_version() == 20).await;
+    }
+    assert_eq!(site.send_as(0, "/look/x", "w0", "withdrawn").await.status(), 200);
+    let copy = site.store.copy();
+    site.store.put_settings(&site_settings(30));
+    for instance in &site.instances {
+        wait_until("the key is withdrawn", || instance.settings_version() == 30).await;
+    }
+    site.store.restore(&copy);
+    wait_for_entries(&site, 5).await;
+    for (number, instance) in site.instances.iter().enumerate() {
+        assert_eq!(instance.settings_version(), 30);
+        assert_eq!(
+            site.send_as(number, "/look/x", "w1", "withdrawn").await.status(),
+            401
+        );
+    }
+    // The operator writes the settings again, and later ones at an offset that the store had given out before.
+    site.store.put_settings(&site_settings(30));
+    site.store.put_settings(&site_settings(31));
+    for instance in &site.instances {
+        wait_until("later settings are in force", || {
+            instance.settings_version() == 31
+        })
+        .await;
+    }
+}
+
+/// Guards against members that don't find each other: a card that the store has lost was never written again.
+#[tokio::test]
+async fn a_member_card_that_was_lost_is_written_again() {
+    let mut site = Site::start(1).await;
+    let copy = site.store.copy();
+    site.start_instance(1).await.unwrap();
+    site.store.restore(&copy);
+    wait_until("the card is back", || {
+        site.store.values("keyed.members").contains_key("n1")
+    })
+    .await;
+}
--- a/marigoldlock_core/src/gateway/adapter.rs
+++ b/marigoldlock_core/src/gateway/adapter.rs
@@ -16,6 +16,7 @@
 
 use super::call::{CallHead, CustomerCounts, Refusal};
 use super::catalog::{UpstreamEntry, UpstreamRole};
+use super::era::{StoreEra, StorePosition};
 use super::route::GatewaySettings;
 
 /// Error for a request, record or response that can't be parsed.
@@ -208,6 +209,8 @@
 /// Records of a keyed stream, the newest of each key.
 #[derive(Clone, Debug, Default)]
 pub struct KeyedListing {
+    /// Era of the offsets.
+    pub era: StoreEra,
     /// The records.
     pub records: Vec<KeyedRecord>,
     /// Offset at which to continue reading.
@@ -219,6 +222,8 @@
 /// Consecutive records of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct RecordBatch {
+    /// Era of the offsets.
+    pub era: StoreEra,
     /// Offset and bytes of each record.
     pub records: Vec<(u64, Bytes)>,
     /// Offset at which to continue reading.
@@ -230,10 +235,10 @@
 /// Result of a conditional append.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendOutcome {
-    /// The record was appended at this offset.
-    Appended(u64),
-    /// The stream ends at this offset, which isn't the expected one; nothing was appended.
-    EndMismatch(u64),
+    /// The record was appended at this position.
+    Appended(StorePosition),
+    /// The stream ends at this position, which isn't the expected one; nothing was appended.
+    EndMismatch(StorePosition),
 }
 
 /// Error of a call to the store.
@@ -248,27 +253,64 @@
     /// No response; the call may have taken effect or may still do so.
     #[display("no response from the store: {_0}")]
     NoAnswer(#[error(not(source))] String),
+    /// The store is in this era, which isn't that of the call's position. The response says nothing of the era of the call; an
+    /// append may have taken effect in either.
+    #[display("the store is in era {_0}, the call was made for another")]
+    OtherEra(#[error(not(source))] StoreEra),
     /// The response can't be parsed.
     #[display("{_0}")]
     Format(FormatError),
 }
 
-/// Client of the platform's store.
+/// A response of the store that belongs to an era.
+pub trait EraDated {
+    /// Era in which the store gave the response.
+    fn era(&self) -> StoreEra;
+}
+
+impl EraDated for StoreEra {
+    fn era(&self) -> StoreEra {
+        *self
+    }
+}
+
+impl EraDated for KeyedListing {
+    fn era(&self) -> StoreEra {
+        self.era
+    }
+}
+
+impl EraDated for RecordBatch {
+    fn era(&self) -> StoreEra {
+        self.era
+    }
+}
+
+impl EraDated for AppendOutcome {
+    fn era(&self) -> StoreEra {
+        match self {
+            Self::Appended(position) | Self::EndMismatch(position) => position.era,
+        }
+    }
+}
+
+/// Client of the platform's store. A call for a position fails with [`StoreError::OtherEra`] if the store answers in
+/// another era.
 #[async_trait]
 pub trait SharedStore: Send + Sync {
     /// Lists the newest record of each key of a keyed stream.
     async fn list(&self, stream: StoreStream) -> Result<KeyedListing, StoreError>;
 
-    /// Reads a keyed stream from `offset` on; waits up to `wait` for the first record.
+    /// Reads a keyed stream from a position on; waits up to `wait` for the first record.
     async fn follow(
         &self,
         stream: StoreStream,
-        offset: u64,
+        from: StorePosition,
         wait: Duration,
     ) -> Result<KeyedListing, StoreError>;
 
-    /// Sets a key of a keyed stream.
-    async fn put(&self, stream: StoreStream, key: &str, value: &[u8]) -> Result<(), StoreError>;
+    /// Sets a key of a keyed stream; returns the era in which it was set.
+    async fn put(&self, stream: StoreStream, key: &str, value: &[u8]) -> Result<StoreEra, StoreError>;
 
     /// Sets a key of a keyed stream if the stream ends at `end`.
     async fn put_at(
@@ -276,21 +318,21 @@
         stream: StoreStream,
         key: &str,
         value: &[u8],
-        end: u64,
+        end: StorePosition,
     ) -> Result<AppendOutcome, StoreError>;
 
-    /// Appends a record to a plain stream.
-    async fn append(&self, stream: StoreStream, record: &[u8]) -> Result<(), StoreError>;
+    /// Appends a record to a plain stream; returns the era in which it was appended.
+    async fn append(&self, stream: StoreStream, record: &[u8]) -> Result<StoreEra, StoreError>;
 
-    /// Reads a plain stream from `offset` on.
-    async fn read(&self, stream: StoreStream, offset: u64) -> Result<RecordBatch, StoreError>;
+    /// Reads a plain stream from a position on.
+    async fn read(&self, stream: StoreStream, from: StorePosition) -> Result<RecordBatch, StoreError>;
 
     /// Appends a record if the stream ends at `end`.
     async fn append_at(
         &self,
         stream: StoreStream,
         record: &[u8],
-        end: u64,
+        end: StorePosition,
     ) -> Result<AppendOutcome, StoreError>;
 }
 
@@ -312,6 +354,9 @@
     ///
     /// Fails if the record does not describe a usable upstream.
     fn upstream(&self, id: &str, value: &[u8]) -> Result<UpstreamEntry, FormatError>;
+
+    /// How often the upstream had written when it wrote this entry; `None` if the entry doesn't say.
+    fn entry_writes(&self, value: &[u8]) -> Option<u64>;
 }
 
 /// Result of a call that only the holder of the duties may make.
--- a/marigoldlock_core/src/gateway/members.rs
+++ b/marigoldlock_core/src/gateway/members.rs
@@ -10,6 +10,7 @@
 
 use super::allowance::FleetShare;
 use super::crashes::CrashReport;
+use super::era::{StoreEra, StorePosition};
 use super::exchange::heartbeat_interval;
 use super::state::UpstreamKey;
 use super::usage::WindowCounts;
@@ -78,6 +79,8 @@
 pub struct SyncState {
     /// Version of the settings in force; 0 for none.
     pub settings_version: u64,
+    /// Era of the store that the offsets belong to; `None` before the first contact.
+    pub era: Option<StoreEra>,
     /// Offset up to which the settings stream has been read.
     pub settings_offset: u64,
     /// Offset up to which the upstreams stream has been read.
@@ -86,6 +89,13 @@
     pub upstreams_digest: u64,
 }
 
+impl SyncState {
+    /// Position up to which the upstreams stream has been read.
+    pub fn upstreams_position(&self) -> StorePosition {
+        StorePosition::new(self.era.unwrap_or_default(), self.upstreams_offset)
+    }
+}
+
 /// An instance's contact with the store. Times are sent as ages, since the clocks of instances can't be
 /// compared.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -140,11 +150,12 @@
 }
 
 impl MemberReport {
-    /// Age up to which an instance that has read the upstreams up to `known_offset` knows all of them by this report: that of
+    /// Age up to which an instance that has read the upstreams up to `known` knows all of them by this report: that of
     /// the sender's last response of the store. `None` if the sender knows more, or has not read all of them yet.
-    pub fn news_age(&self, known_offset: u64) -> Option<Duration> {
-        let has_read = self.stage != MemberStage::Starting;
-        let is_covered = has_read && self.sync_state.upstreams_offset <= known_offset;
+    pub fn news_age(&self, known: StorePosition) -> Option<Duration> {
+        let position = self.sync_state.upstreams_position();
+        let has_read = self.stage != MemberStage::Starting && position.offset > 0;
+        let is_covered = has_read && position.era == known.era && position.offset <= known.offset;
         let age_ms = self.store.response_age_ms.filter(|_| is_covered)?;
         Some(Duration::from_millis(u64::from(age_ms)))
     }
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod crashes;
 pub mod demand;
 pub mod duty;
+pub mod era;
 pub mod events;
 pub mod exchange;
 pub mod hedge;
@@ -51,5 +52,6 @@
     };
     pub use super::call::{CallHead, PromptPart, PromptShape, Refusal, RefusalCause, RequestIdentity};
     pub use super::catalog::{UpstreamCatalog, UpstreamEntry, UpstreamRole};
+    pub use super::era::{StoreEra, StorePosition};
     pub use super::route::{CallKind, GatewaySettings, RouteRule, ServiceRule};
 }
--- a/marigoldlock_core/src/gateway/origins.rs
+++ b/marigoldlock_core/src/gateway/origins.rs
@@ -154,6 +154,13 @@
         self.is_archiving = is_archiving;
     }
 
+    /// Queues all known origins for the store again, which may have lost them.
+    pub fn store_again(&mut self) {
+        if std::mem::take(&mut self.is_archiving) {
+            self.set_archiving(true);
+        }
+    }
+
     /// Takes up to `count` origins that are to be written to the store.
     pub fn take_unstored(&mut self, count: usize) -> Vec<StreamOrigin> {
         self.unstored.drain(..count.min(self.unstored.len())).collect()
--- a/marigoldlock_core/src/gateway/tests/exchange.rs
+++ b/marigoldlock_core/src/gateway/tests/exchange.rs
@@ -5,6 +5,7 @@
 use marigoldlock_wire::prelude::*;
 
 use super::at;
+use crate::gateway::era::{StoreEra, StorePosition};
 use crate::gateway::exchange::{FleetView, heartbeat_interval};
 use crate::gateway::members::{MemberCard, MemberReport, MemberStage, MemberTable, ReportPath, StoreContact};
 use crate::gateway::news::NewsDate;
@@ -505,11 +506,35 @@
     let mut report = fleet.report(1);
     report.store.response_age_ms = Some(20);
     report.sync_state.upstreams_offset = 40;
-    assert_eq!(report.news_age(40), Some(std::time::Duration::from_millis(20)));
-    assert_eq!(report.news_age(39), None, "the sender knows more");
+    assert_eq!(
+        report.news_age(position(40)),
+        Some(std::time::Duration::from_millis(20))
+    );
+    assert_eq!(report.news_age(position(39)), None, "the sender knows more");
     report.stage = MemberStage::Starting;
     report.sync_state.upstreams_offset = 0;
-    assert_eq!(report.news_age(40), None);
+    assert_eq!(report.news_age(position(40)), None);
+}
+
+/// A listing is as new as the era it was read in: a sender that is still in the era before knows nothing of this one, and one that
+/// has entered it but not listed the upstreams knows no more.
+#[test]
+fn an_instance_of_another_era_does_not_date_the_listing() {
+    let fleet = Fleet::new(2, 1);
+    let mut report = fleet.report(1);
+    report.store.response_age_ms = Some(20);
+    report.sync_state.upstreams_offset = 40;
+    let later = StorePosition::new(StoreEra(1), 40);
+    assert_eq!(report.news_age(later), None);
+    report.sync_state.era = Some(StoreEra(1));
+    assert_eq!(report.news_age(position(40)), None);
+    assert!(report.news_age(later).is_some());
+    report.sync_state.upstreams_offset = 0;
+    assert_eq!(report.news_age(later), None, "it has not read them yet");
+}
+
+fn position(offset: u64) -> StorePosition {
+    StorePosition::new(StoreEra::default(), offset)
 }
 
 #[test]
--- a/marigoldlock_fleet/src/site.rs
+++ b/marigoldlock_fleet/src/site.rs
@@ -82,6 +82,10 @@
         }
         Ok(entry)
     }
+
+    fn entry_writes(&self, value: &[u8]) -> Option<u64> {
+        self.format.entry_writes(value)
+    }
 }
 
 /// The stand-ins and instances of one site.
