Read the duties from their start in each era

Cause: the offset of the duties stream outlasted the return. The reader took 410 for records that have expired, had nothing to skip to, and called again at once, without end.

Change: the state of the duties begins anew in each era, and so does every holder; counts that were read stay known. A 410 that names no later offset is a failed call.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -136,7 +136,7 @@
             (
                 fence,
                 state.duty_state.may_claim(now, self.gateway.bounds().lease),
-                state.duty_state.next_offset(),
+                state.duty_state.position(),
             )
         };
         if let Some(fence) = fence {
--- a/marigoldlock/src/gateway/duty_log.rs
+++ b/marigoldlock/src/gateway/duty_log.rs
@@ -24,8 +24,8 @@
         Self { gateway, failures: 0 }
     }
 
-    /// Appends a record if the stream still ends at `end`; returns true if the append is confirmed.
-    pub async fn append(&mut self, record: DutyRecord, end: u64) -> bool {
+    /// Appends a record if the stream still ends at `end`; returns true if the append is confirmed in the present era.
+    pub async fn append(&mut self, record: DutyRecord, end: StorePosition) -> bool {
         let bytes = match bincode::serde::encode_to_vec(&record, bincode::config::standard()) {
             Ok(bytes) => bytes,
             Err(err) => {
@@ -34,24 +34,23 @@
             }
         };
         let sent_at = self.gateway.now();
-        match self
-            .gateway
-            .parts
-            .store
-            .append_at(StoreStream::Duties, &bytes, self.position(end))
-            .await
-        {
-            Ok(AppendOutcome::Appended(StorePosition { offset, .. })) => {
+        let store = &self.gateway.parts.store;
+        let appended = store.append_at(StoreStream::Duties, &bytes, end).await;
+        match self.gateway.check_era(appended) {
+            Ok(AppendOutcome::Appended(position)) => {
                 self.failures = 0;
                 let now = self.gateway.now();
                 let card = &self.gateway.parts.card;
                 let mut state = self.gateway.state();
-                state.duty_state.apply(offset, record, now);
+                if state.store_era() != position.era {
+                    return false;
+                }
+                state.duty_state.apply(position.offset, record, now);
                 state.duty_state.confirm(&card.id, card.incarnation, sent_at);
                 true
             }
             Ok(AppendOutcome::EndMismatch(actual)) => {
-                log::info!(expected = end, actual:%; "the duties stream has new records; reading it again");
+                log::info!(expected:% = end, actual:%; "the duties stream has new records; reading it again");
                 self.read().await;
                 self.check_authority();
                 false
@@ -67,10 +66,6 @@
         }
     }
 
-    fn position(&self, offset: u64) -> StorePosition {
-        StorePosition::new(self.gateway.store_era(), offset)
-    }
-
     /// Releases the duties if the latest claim belongs to another instance.
     fn check_authority(&mut self) {
         let card = &self.gateway.parts.card;
@@ -99,12 +94,15 @@
     /// Reads the duties stream to its end; returns false if a call fails.
     pub async fn read(&mut self) -> bool {
         loop {
-            let offset = self.gateway.state().duty_state.next_offset();
-            let from = self.position(offset);
-            let batch = match self.gateway.parts.store.read(StoreStream::Duties, from).await {
+            let from = self.gateway.state().duty_state.position();
+            let read = self.gateway.parts.store.read(StoreStream::Duties, from).await;
+            let batch = match self.gateway.check_era(read) {
                 Ok(batch) => batch,
-                Err(StoreError::Gone(first)) => {
-                    self.gateway.state().duty_state.skip_to(first);
+                Err(StoreError::Gone(first)) if first > from.offset => {
+                    let mut state = self.gateway.state();
+                    if state.store_era() == from.era {
+                        state.duty_state.skip_to(first);
+                    }
                     continue;
                 }
                 Err(err) => {
@@ -114,6 +112,9 @@
             };
             let now = self.gateway.now();
             let mut state = self.gateway.state();
+            if state.store_era() != batch.era {
+                return false;
+            }
             for (offset, bytes) in &batch.records {
                 match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
                     Ok((record, _)) => state.duty_state.apply(*offset, record, now),
--- a/marigoldlock/src/gateway/send_right.rs
+++ b/marigoldlock/src/gateway/send_right.rs
@@ -83,7 +83,7 @@
         let state = gateway.state();
         let duty_state = &state.duty_state;
         let needs_renewal = duty_state.has_waited(now, lease) && duty_state.needs_renewal(now, lease);
-        (needs_renewal, duty_state.next_offset())
+        (needs_renewal, duty_state.position())
     };
     if needs_renewal {
         let mut log = DutyLog::new(Arc::clone(gateway));
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -284,6 +284,7 @@
     pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) -> Option<EraChange> {
         let Some(before) = self.era else {
             self.era = Some(era);
+            self.duty_state.enter_era(era, now);
             return Some(EraChange::First);
         };
         if era <= before {
@@ -297,6 +298,9 @@
         // Upstreams may have come and gone in records that are lost.
         self.forget_versions(now);
         self.origins.store_again();
+        self.duty_state.enter_era(era, now);
+        self.duty_fence = None;
+        self.changing.clear();
         Some(EraChange::Later(before))
     }
 
--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -178,7 +178,7 @@
             let state = self.gateway.state();
             let mut counts: Vec<(CustomerId, u64)> = state.usage.total(window).into_iter().collect();
             counts.sort();
-            (counts, state.duty_state.next_offset())
+            (counts, state.duty_state.position())
         };
         let record = DutyRecord::Usage {
             window,
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -3,14 +3,78 @@
 
 mod platform_support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use marigoldlock_standin::site::site_settings;
+use marigoldlock_standin::site::{StoreCopy, site_settings};
 use platform_support::{Site, wait_until};
 
 /// Time after its notice from which a leaving upstream gets no requests, by the platform's page.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 
+/// Windows of usage that were accepted.
+fn windows(site: &Site) -> BTreeSet<u64> {
+    site.duties.usage().into_keys().collect()
+}
+
+/// Sends requests until a window of usage that was not reported before is accepted. Returns the holder that reported it.
+async fn report_new_window(site: &Site, instance: usize, name: &str) -> String {
+    let before = windows(site);
+    for number in 0..300 {
+        let answer = site.send(instance, "/look/x", &format!("{name}{number}")).await;
+        assert_eq!(answer.status(), 200);
+        let usage = site.duties.usage();
+        // The first new window may have begun before the call.
+        if let Some((_, reported)) = usage.iter().filter(|(window, _)| !before.contains(window)).nth(1) {
+            return reported.holder.clone();
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{name}: no window was reported after {before:?}");
+}
+
+/// Copies the store, then writes an entry and a removal which the copy lacks, and reports usage.
+async fn outgrow_copy(site: &Site) -> StoreCopy {
+    let copy = site.store.copy();
+    for round in 0..3 {
+        let mut entry = site.runner("d2").entry("ready");
+        entry["Sequence"] = (10 + round).into();
+        entry["Version"] = format!("lost{round}").into();
+        site.store.put_upstream("d2", Some(&entry));
+    }
+    report_new_window(site, 0, "outgrow").await;
+    copy
+}
+
+/// Guards against usage that is never reported again: the holder read the duties in a loop from an offset that the store no
+/// longer had.
+#[tokio::test]
+async fn usage_is_reported_after_the_store_came_back_from_a_copy() {
+    let site = Site::start(2).await;
+    report_new_window(&site, 0, "before").await;
+    let copy = outgrow_copy(&site).await;
+    site.store.restore(&copy);
+    report_new_window(&site, 0, "after").await;
+    let calls = site.store.calls();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let calls = site.store.calls() - calls;
+    assert!(calls < 100, "{calls} calls to the store in a second");
+    assert_eq!(site.duties.conflicts(), 0);
+}
+
+/// Guards against instances that are stuck once a second copy follows the first.
+#[tokio::test]
+async fn usage_is_reported_after_the_store_came_back_twice() {
+    let site = Site::start(2).await;
+    report_new_window(&site, 0, "before").await;
+    let first = outgrow_copy(&site).await;
+    let second = outgrow_copy(&site).await;
+    site.store.restore(&second);
+    site.store.restore(&first);
+    report_new_window(&site, 0, "after").await;
+    assert_eq!(site.duties.conflicts(), 0);
+}
+
 /// Guards against requests to an upstream that leaves after the store came back: its record had a lower offset than the one
 /// that the store had lost, and was dropped as older.
 #[tokio::test]
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -20,6 +20,8 @@
 
 use crate::time::MonoTime;
 
+use super::era::{StoreEra, StorePosition};
+
 /// Number of usage windows whose counts are retained.
 const RETAINED_WINDOWS: u64 = 32;
 
@@ -74,6 +76,7 @@
 /// State derived from the records of the duties stream.
 #[derive(Clone, Debug, Default)]
 pub struct DutyState {
+    era: StoreEra,
     next_offset: u64,
     claim: Option<DutyClaim>,
     usage: FastMap<u64, Vec<(CustomerId, u64)>>,
@@ -91,6 +94,22 @@
         self.next_offset
     }
 
+    /// Position of the next record to read.
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.next_offset)
+    }
+
+    /// Begins to read the stream of a new era, from its start. Counts that were read stay known.
+    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) {
+        self.era = era;
+        self.next_offset = 0;
+        self.claim = None;
+        // A former holder can't have had an append confirmed after this.
+        self.newest_read_at = Some(now);
+        self.former_read_at = None;
+        self.renewed_at = None;
+    }
+
     /// Continues at `offset` after older records have expired.
     pub fn skip_to(&mut self, offset: u64) {
         if offset > self.next_offset {
