Let claims of the duties count in one era, and keep reported counts

Cause: the number was the offset of the claim, and the store gives offsets out again. The counts of a window, fixed in a record that is lost, could likewise be fixed again with others by a successor that hadn't read it.

Change: a claim names the era that its writer knew and counts in that era only; the number holds the era above the offset. Counts that are known are written again before they are reported again. A claim also names the first window that can't have been reported in an earlier era, and its holder fixes counts from there on. The former holder claims again at once, since it knows most.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigoldlock_core::gateway::duty::DutyRecord;
+use marigoldlock_core::gateway::era::StorePosition;
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::members::MemberStage;
 use marigoldlock_core::prelude::*;
@@ -88,35 +88,44 @@
     /// Claims the duties if they have been vacant for long enough.
     async fn claim_if_vacant(&mut self) {
         let now = self.gateway.now();
-        let (holder, is_successor, is_first, known_end) = {
+        let (holder, is_successor, is_first, is_former, known_end) = {
             let state = self.gateway.state();
             let view = FleetView {
                 own: &self.gateway.parts.card,
                 members: &state.members,
                 now,
             };
+            // Claims of earlier eras are void, also those of instances that haven't learned of this one.
+            let known = state.duty_state.position();
+            let first_fence = StorePosition::new(known.era, 0).fence();
             let holders = state
                 .members
                 .live(now)
-                .filter_map(|member| member.report.duty_fence);
+                .filter_map(|member| member.report.duty_fence)
+                .filter(|fence| *fence >= first_fence);
             (
                 holders.max(),
                 view.is_successor(),
                 state.store.is_reachable() && view.is_first_successor(),
-                state.duty_state.next_offset(),
+                state.reclaims_duties,
+                known,
             )
         };
         if let Some(fence) = holder {
             self.vacant_since = None;
+            self.gateway.state().reclaims_duties = false;
             // A possible successor reads the holder's claim early, so that the lease has already expired when
             // the holder is lost.
-            if is_successor && fence > known_end {
+            if is_successor && fence >= known_end.fence() {
                 self.log.read().await;
             }
             return;
         }
         let since = *self.vacant_since.get_or_insert(now);
-        let timeout = if is_first {
+        let timeout = if is_former {
+            // It knows best which windows have been reported.
+            Duration::ZERO
+        } else if is_first {
             HOLDER_TIMEOUT
         } else {
             HOLDER_TIMEOUT * FALLBACK_TIMEOUT_FACTOR
@@ -130,13 +139,14 @@
     async fn claim(&mut self) {
         let card = self.gateway.parts.card.clone();
         let now = self.gateway.now();
-        let (fence, may_claim, end) = {
+        let (fence, may_claim, end, record) = {
             let state = self.gateway.state();
-            let fence = state.duty_state.fence_of(&card.id, card.incarnation);
+            let duty_state = &state.duty_state;
             (
-                fence,
-                state.duty_state.may_claim(now, self.gateway.bounds().lease),
-                state.duty_state.position(),
+                duty_state.fence_of(&card.id, card.incarnation),
+                duty_state.may_claim(now, self.gateway.bounds().lease),
+                duty_state.position(),
+                duty_state.new_claim(card.id.clone(), card.incarnation),
             )
         };
         if let Some(fence) = fence {
@@ -146,10 +156,6 @@
         if !may_claim {
             return;
         }
-        let record = DutyRecord::Claim {
-            holder: card.id.clone(),
-            incarnation: card.incarnation,
-        };
         if self.log.append(record, end).await {
             let fence = self
                 .gateway
@@ -164,7 +170,13 @@
 
     fn set_held(&mut self, fence: u64) {
         log::info!(fence; "duties taken");
-        self.gateway.state().duty_fence = Some(fence);
+        let mut state = self.gateway.state();
+        // The era may have ended since the claim.
+        let (id, incarnation) = (&self.gateway.parts.card.id, self.gateway.parts.card.incarnation);
+        if state.duty_state.fence_of(id, incarnation) == Some(fence) {
+            state.duty_fence = Some(fence);
+            state.reclaims_duties = false;
+        }
     }
 
     /// Sends the orders that are due, or releases the duties if the fencing number is too low.
@@ -182,6 +194,10 @@
                 .release_duties("another instance holds a higher fencing number");
             return;
         }
+        if self.gateway.state().lacks_entries(now) {
+            // Orders that rest on such a listing would replace upstreams that are there.
+            return;
+        }
         let bounds = self.gateway.bounds();
         if !bounds.requires_fence && !self.gateway.state().duty_state.has_waited(now, bounds.lease) {
             return;
--- a/marigoldlock/src/gateway/era.rs
+++ b/marigoldlock/src/gateway/era.rs
@@ -35,9 +35,10 @@
 
     /// Enters an era if it is newer than the present one; returns the present one.
     pub(super) fn enter_era(&self, era: StoreEra) -> StoreEra {
+        let first_window = self.window(self.fleet_unix_ms());
         let now = self.now();
         let mut state = self.state();
-        let Some(change) = state.enter_era(era, now) else {
+        let Some(change) = state.enter_era(era, self.parts.is_first_start, first_window, now) else {
             return state.store_era();
         };
         drop(state);
--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -220,13 +220,14 @@
 }
 
 /// Adds an instance from its card in the store. The first card ever written, at offset 0, is that of an instance which
-/// had none before it.
+/// had none before it, unless the store has lost earlier ones.
 fn add_member(gateway: &Gateway, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
     match serde_json::from_slice::<MemberCard>(value) {
         Ok(card) if card.id == gateway.parts.card.id => {
-            if record.offset == 0 {
-                gateway.state().budget_start.record_first();
+            let mut state = gateway.state();
+            if record.offset == 0 && !state.is_restored() {
+                state.budget_start.record_first();
             }
         }
         Ok(card) => gateway.state().members.add_card(card, gateway.now()),
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use marigoldlock_core::gateway::admission::PrefillRate;
 use marigoldlock_core::gateway::allowance::AllowanceTable;
 use marigoldlock_core::gateway::budget::{BudgetStart, RetryBudget};
+use marigoldlock_core::gateway::catalog::RECOVERY_WINDOW;
 use marigoldlock_core::gateway::choice::Candidate;
 use marigoldlock_core::gateway::clock::FleetClock;
 use marigoldlock_core::gateway::crashes::CrashTable;
@@ -66,6 +67,8 @@
     pub upstreams_raw: FastMap<String, RawRecord>,
     /// Newest era of the store; `None` before the first contact.
     era: Option<StoreEra>,
+    /// When this instance learned that the store had come back from a copy.
+    restored_at: Option<MonoTime>,
     /// Offset up to which the settings stream has been read in this era.
     pub settings_offset: u64,
     /// Offset up to which the upstreams stream has been read in this era; 0 before its first listing.
@@ -112,6 +115,8 @@
     pub duty_state: DutyState,
     /// Fencing number, while this instance holds the duties.
     pub duty_fence: Option<u64>,
+    /// True if the instance held the duties when a new era began, and nobody else has taken them since.
+    pub reclaims_duties: bool,
     /// Upstreams that this instance has ordered to change their role.
     pub changing: FastSet<UpstreamId>,
     /// Requests that wait for a prefill engine.
@@ -275,22 +280,40 @@
         self.era.unwrap_or_default()
     }
 
+    /// True if the store has come back from a copy while this instance ran.
+    pub fn is_restored(&self) -> bool {
+        self.restored_at.is_some()
+    }
+
+    /// True while upstreams may be missing whose entries the store has lost, and which have not written them again.
+    pub fn lacks_entries(&self, now: MonoTime) -> bool {
+        self.restored_at.is_some_and(|at| now.since(at) < RECOVERY_WINDOW)
+    }
+
     /// Position up to which the upstreams stream has been read.
     pub fn upstreams_position(&self) -> StorePosition {
         StorePosition::new(self.store_era(), self.upstreams_offset)
     }
 
-    /// Enters an era of the store if it is newer than the present one.
-    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) -> Option<EraChange> {
+    /// Enters an era of the store if it is newer than the present one. `first_window` is the usage window at `now`.
+    pub fn enter_era(
+        &mut self,
+        era: StoreEra,
+        is_first_start: bool,
+        first_window: u64,
+        now: MonoTime,
+    ) -> Option<EraChange> {
         let Some(before) = self.era else {
             self.era = Some(era);
-            self.duty_state.enter_era(era, now);
+            let first_window = if is_first_start { 0 } else { first_window };
+            self.duty_state.enter_era(era, first_window, now);
             return Some(EraChange::First);
         };
         if era <= before {
             return None;
         }
         self.era = Some(era);
+        self.restored_at = Some(now);
         self.settings_offset = 0;
         self.upstreams_offset = 0;
         // Entries that the copy lacks are written again, as those that lapsed in an outage.
@@ -298,7 +321,8 @@
         // Upstreams may have come and gone in records that are lost.
         self.forget_versions(now);
         self.origins.store_again();
-        self.duty_state.enter_era(era, now);
+        self.duty_state.enter_era(era, first_window, now);
+        self.reclaims_duties |= self.duty_fence.is_some();
         self.duty_fence = None;
         self.changing.clear();
         Some(EraChange::Later(before))
--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -116,24 +116,37 @@
     /// Fixes and reports one window; returns false if the remaining windows must wait.
     async fn report(&mut self, fence: u64, ended: EndedWindow) -> bool {
         let window = ended.window;
-        let (fixed, has_counts, may_fix, missing) = {
+        let (fixed, is_stored, is_open, has_counts, may_fix, missing) = {
             let state = self.gateway.state();
             let view = self.gateway.fleet_view(&state);
             (
                 state.duty_state.usage(window).map(<[_]>::to_vec),
+                state.duty_state.is_stored(window),
+                state.duty_state.is_open(window),
                 !state.usage.total(window).is_empty(),
                 state.usage.may_fix(ended, &view),
                 state.usage.missing(window, &view),
             )
         };
         let counts = match fixed {
-            Some(counts) => counts,
+            Some(counts) if is_stored => counts,
+            // The store has lost them; a later holder has to find them there.
+            Some(counts) => match self.fix_counts(fence, window, counts).await {
+                Some(counts) => counts,
+                None => return false,
+            },
             None if !may_fix => return false,
             None if !has_counts => {
                 self.reported.insert(window);
                 return true;
             }
-            None => match self.fix_counts(window).await {
+            None if !is_open => {
+                log::warn!(window; "usage not reported: the store may have lost counts that were reported");
+                metrics::counter!("gateway_usage_windows_lost_total").increment(1);
+                self.reported.insert(window);
+                return true;
+            }
+            None => match self.fix_counts(fence, window, self.total(window)).await {
                 Some(counts) => counts,
                 None => return false,
             },
@@ -172,19 +185,28 @@
         }
     }
 
+    fn total(&self, window: u64) -> Vec<(CustomerId, u64)> {
+        let mut counts: Vec<(CustomerId, u64)> =
+            self.gateway.state().usage.total(window).into_iter().collect();
+        counts.sort();
+        counts
+    }
+
     /// Writes the counts of a window to the store.
-    async fn fix_counts(&mut self, window: u64) -> Option<Vec<(CustomerId, u64)>> {
-        let (counts, end) = {
+    async fn fix_counts(
+        &mut self,
+        fence: u64,
+        window: u64,
+        counts: Vec<(CustomerId, u64)>,
+    ) -> Option<Vec<(CustomerId, u64)>> {
+        let end = {
             let state = self.gateway.state();
-            let mut counts: Vec<(CustomerId, u64)> = state.usage.total(window).into_iter().collect();
-            counts.sort();
-            (counts, state.duty_state.position())
-        };
-        let record = DutyRecord::Usage {
-            window,
-            counts: counts.clone(),
+            if state.duty_fence != Some(fence) {
+                return None;
+            }
+            state.duty_state.position()
         };
-        if !self.log.append(record, end).await {
+        if !self.log.append(DutyRecord::Usage { window, counts }, end).await {
             return None;
         }
         self.gateway.state().duty_state.usage(window).map(<[_]>::to_vec)
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -59,7 +59,7 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let calls = site.store.calls() - calls;
     assert!(calls < 100, "{calls} calls to the store in a second");
-    assert_eq!(site.duties.conflicts(), 0);
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
 /// Guards against instances that are stuck once a second copy follows the first.
@@ -72,7 +72,7 @@
     site.store.restore(&second);
     site.store.restore(&first);
     report_new_window(&site, 0, "after").await;
-    assert_eq!(site.duties.conflicts(), 0);
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
 /// Guards against requests to an upstream that leaves after the store came back: its record had a lower offset than the one
@@ -202,6 +202,46 @@
     }
 }
 
+/// Guards against one fencing number of two holders: the claim of the second was lost, and the next claim got its offset.
+#[tokio::test]
+async fn holders_before_and_after_a_copy_never_share_a_fencing_number() {
+    let mut site = Site::start(2).await;
+    let first = report_new_window(&site, 0, "first").await;
+    let (holder, other) = if first == "n0" { (0, "n1") } else { (1, "n0") };
+    let copy = site.store.copy();
+    site.instances.remove(holder).abort();
+    assert_eq!(report_new_window(&site, 0, "second").await, other);
+    site.store.restore(&copy);
+    site.instances.remove(0).abort();
+    // Both have lost what they knew; the store has lost the second claim.
+    for number in [7, 8] {
+        site.start_instance(number).await.unwrap();
+    }
+    report_new_window(&site, 0, "third").await;
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
+}
+
+/// Guards against counts that are made up again for a window whose fixed counts the store has lost.
+#[tokio::test]
+async fn a_window_reported_before_a_copy_is_not_reported_with_other_counts() {
+    let mut site = Site::start(3).await;
+    report_new_window(&site, 0, "before").await;
+    for round in 0..3 {
+        let copy = site.store.copy();
+        let holder = report_new_window(&site, 0, &format!("round{round}-")).await;
+        site.store.restore(&copy);
+        // The successor knows the claim, but not which counts have been fixed since.
+        let index = site
+            .instances
+            .iter()
+            .position(|instance| instance.name() == holder);
+        site.instances.remove(index.unwrap()).abort();
+        site.start_instance(10 + round).await.unwrap();
+        report_new_window(&site, 0, &format!("after{round}-")).await;
+    }
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
+}
+
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
 #[tokio::test]
 async fn a_member_card_that_was_lost_is_written_again() {
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -3,8 +3,8 @@
 //! The duties are to report usage, to order upstreams and to change the roles of engines.
 //!
 //! One stream of the store holds claims of the duties and fixed usage counts. Every append names the end of
-//! the stream that its writer has read, so a writer that has missed a claim can't append. The offset of a
-//! claim determines its holder's fencing number. The counts of a usage window are appended before they are
+//! the stream that its writer has read, so a writer that has missed a claim can't append. The era and the offset of a
+//! claim determine its holder's fencing number. The counts of a usage window are appended before they are
 //! reported, so that a later holder that reports the window again reports the same counts.
 //!
 //! Receivers that check the fencing number refuse the calls of a former holder. Where they don't, the holder may send only
@@ -12,6 +12,11 @@
 //! flight. A successor sends nothing until a lease has passed since it read the records before its claim: its claim can't
 //! follow a record that it hasn't read, so no append of the former holder is confirmed later. Neither rule depends on when a
 //! process runs, so both hold for a holder that was frozen.
+//!
+//! When the store comes back from a copy, records may be lost and their offsets given out again. A claim names the era that its
+//! writer knew and counts in that era only, so the duties are claimed anew and fencing numbers rise. Counts that were read stay
+//! known, and the holder writes them again. Counts that were lost and that nobody read may have been reported: a claim names
+//! the first window of which that is impossible, and its holder fixes counts from there on only.
 
 use std::time::Duration;
 
@@ -45,6 +50,10 @@
         holder: InstanceId,
         /// Incarnation of its process.
         incarnation: Incarnation,
+        /// Era in which the claim counts.
+        era: StoreEra,
+        /// First usage window that can't have been reported in an earlier era.
+        first_window: u64,
     },
     /// The final counts of a usage window.
     Usage {
@@ -67,7 +76,7 @@
     pub holder: InstanceId,
     /// Incarnation of its process.
     pub incarnation: Incarnation,
-    /// Fencing number: the claim's offset, counted from 1.
+    /// Fencing number, from the era and the offset of the claim.
     pub fence: u64,
     /// When this process first read the claim.
     pub read_at: MonoTime,
@@ -80,6 +89,12 @@
     next_offset: u64,
     claim: Option<DutyClaim>,
     usage: FastMap<u64, Vec<(CustomerId, u64)>>,
+    /// Windows whose counts the stream holds in this era.
+    stored: FastSet<u64>,
+    /// The first window of the claims of this era.
+    claimed_window: Option<u64>,
+    /// The first window that can't have been reported in an earlier era, as far as this process knows.
+    first_window: u64,
     /// When the newest record was read; `None` if records before the next one were skipped.
     newest_read_at: Option<MonoTime>,
     /// When the records before the latest claim had been read; `None` if it is the first record of the stream.
@@ -99,17 +114,31 @@
         StorePosition::new(self.era, self.next_offset)
     }
 
-    /// Begins to read the stream of a new era, from its start. Counts that were read stay known.
-    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) {
+    /// Begins to read the stream of a new era. Windows before `first_window` had ended when the process learned of the era; 0 if
+    /// the fleet has known no other. Claims of earlier eras are void; counts that were read stay known.
+    pub fn enter_era(&mut self, era: StoreEra, first_window: u64, now: MonoTime) {
         self.era = era;
         self.next_offset = 0;
         self.claim = None;
+        self.stored.clear();
+        self.claimed_window = None;
+        self.first_window = first_window;
         // A former holder can't have had an append confirmed after this.
         self.newest_read_at = Some(now);
         self.former_read_at = None;
         self.renewed_at = None;
     }
 
+    /// A claim of the duties in the present era.
+    pub fn new_claim(&self, holder: InstanceId, incarnation: Incarnation) -> DutyRecord {
+        DutyRecord::Claim {
+            holder,
+            incarnation,
+            era: self.era,
+            first_window: self.claimed_window.unwrap_or(self.first_window),
+        }
+    }
+
     /// Continues at `offset` after older records have expired.
     pub fn skip_to(&mut self, offset: u64) {
         if offset > self.next_offset {
@@ -125,9 +154,18 @@
         }
         self.next_offset = offset + 1;
         match record {
-            DutyRecord::Claim { holder, incarnation } => {
-                let fence = offset + 1;
-                self.former_read_at = (offset > 0).then(|| self.newest_read_at.unwrap_or(now));
+            // A claim of an earlier era was read from a copy, or appended late.
+            DutyRecord::Claim { era, .. } if era != self.era => {}
+            DutyRecord::Claim {
+                holder,
+                incarnation,
+                first_window,
+                ..
+            } => {
+                let fence = StorePosition::new(self.era, offset).fence();
+                let has_former = offset > 0 || first_window > 0;
+                self.former_read_at = has_former.then(|| self.newest_read_at.unwrap_or(now));
+                self.claimed_window = Some(first_window);
                 self.renewed_at = None;
                 self.claim = Some(DutyClaim {
                     holder,
@@ -139,6 +177,8 @@
             DutyRecord::Usage { window, counts } => {
                 self.usage.entry(window).or_insert(counts);
                 self.usage.retain(|index, _| index + RETAINED_WINDOWS > window);
+                self.stored.insert(window);
+                self.stored.retain(|index| index + RETAINED_WINDOWS > window);
             }
             DutyRecord::Renewal { .. } => {}
         }
@@ -189,6 +229,16 @@
         self.usage.get(&window).map(Vec::as_slice)
     }
 
+    /// True if the stream holds the counts of a window in this era.
+    pub fn is_stored(&self, window: u64) -> bool {
+        self.stored.contains(&window)
+    }
+
+    /// True if the holder may fix the counts of a window: nobody can have reported it in an earlier era.
+    pub fn is_open(&self, window: u64) -> bool {
+        self.claimed_window.is_some_and(|first| window >= first)
+    }
+
     /// True if the duties may be claimed. The latest claim must be older than `lease`, so that the holder
     /// doesn't change twice within that time.
     pub fn may_claim(&self, now: MonoTime, lease: Duration) -> bool {
--- a/marigoldlock_core/src/gateway/era.rs
+++ b/marigoldlock_core/src/gateway/era.rs
@@ -15,6 +15,10 @@
 
 use crate::time::MonoTime;
 
+/// Bits of a fencing number that hold the offset of its claim. Numbers stay below 2^53, which JSON carries exactly, for
+/// 2^21 eras.
+const FENCE_OFFSET_BITS: u32 = 32;
+
 /// Time for which removals are remembered; a copy of the store is some seconds old.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 
@@ -46,6 +50,11 @@
     pub fn next(self) -> Self {
         Self::new(self.era, self.offset + 1)
     }
+
+    /// Fencing number of a claim at this position. Numbers rise within an era and from each era to the next.
+    pub fn fence(self) -> u64 {
+        (self.era.0 << FENCE_OFFSET_BITS) + self.offset + 1
+    }
 }
 
 /// What an upstream's entry says of its process.
--- a/marigoldlock_core/src/gateway/tests/duty.rs
+++ b/marigoldlock_core/src/gateway/tests/duty.rs
@@ -10,6 +10,7 @@
 
 use super::at;
 use crate::gateway::duty::{DutyRecord, DutyState};
+use crate::gateway::era::StoreEra;
 use crate::time::MonoTime;
 
 const LEASE: Duration = Duration::from_millis(3_000);
@@ -18,6 +19,8 @@
     DutyRecord::Claim {
         holder: InstanceId::from(holder),
         incarnation: Incarnation(1),
+        era: StoreEra::default(),
+        first_window: 0,
     }
 }
 
--- a/marigoldlock_core/src/gateway/tests/duty_unfenced.rs
+++ b/marigoldlock_core/src/gateway/tests/duty_unfenced.rs
@@ -189,10 +189,7 @@
             Step::Append if process.append.is_none() => {
                 let record = match fence {
                     Some(fence) => DutyRecord::Renewal { fence },
-                    None if state.may_claim(now, LEASE) => DutyRecord::Claim {
-                        holder: id,
-                        incarnation: Incarnation(1),
-                    },
+                    None if state.may_claim(now, LEASE) => state.new_claim(id, Incarnation(1)),
                     None => return,
                 };
                 process.append = Some(PendingAppend {
@@ -345,10 +342,7 @@
 fn the_right_counts_from_when_the_append_was_sent() {
     let mut state = DutyState::default();
     let id = InstanceId::from("a");
-    let claim = DutyRecord::Claim {
-        holder: id.clone(),
-        incarnation: Incarnation(1),
-    };
+    let claim = state.new_claim(id.clone(), Incarnation(1));
     state.apply(0, claim, at(3_000));
     assert!(!state.may_send(1, at(3_000), LEASE), "not confirmed");
     state.confirm(&id, Incarnation(1), at(1_500));
@@ -365,10 +359,7 @@
     let mut state = DutyState::default();
     let id = InstanceId::from("b");
     state.skip_to(7);
-    let claim = DutyRecord::Claim {
-        holder: id.clone(),
-        incarnation: Incarnation(1),
-    };
+    let claim = state.new_claim(id.clone(), Incarnation(1));
     state.apply(7, claim, at(1_000));
     for sent_at in [at(1_000), at(4_000)] {
         state.confirm(&id, Incarnation(1), sent_at);
