Let the store come back from copies in the soak

Cause: no fault of the soak made the store lose what it had acknowledged.

Two checks: no two holders send one fencing number, and usage that began after the last fault is reported.

--- a/marigoldlock_fleet/src/soak/fault.rs
+++ b/marigoldlock_fleet/src/soak/fault.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eyre::Result;
-use marigoldlock_standin::site::site_settings;
+use marigoldlock_standin::site::{StoreCopy, site_settings};
 use rand::Rng;
 use rand::rngs::StdRng;
 use rustix::process::Signal;
@@ -22,6 +22,12 @@
 /// Time from the start of the traffic to the first fault.
 const FIRST_FAULT_DELAY: Duration = Duration::from_millis(500);
 
+/// Approximate mean time between two returns of the store from a copy.
+const MEAN_COPY_INTERVAL: Duration = Duration::from_millis(5_000);
+
+/// Time for which the store is away before and after it comes back from a copy.
+const COPY_OUTAGE: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(200));
+
 /// Faults that a plan draws from.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum FaultMix {
@@ -72,6 +78,9 @@
     LostAppends,
     /// Appends are not answered and are applied later.
     LateAppends,
+    /// The store comes back from a copy that is as old as the fault is long. Operators and upstreams write again what they
+    /// have written. The number tells faults that overlap apart.
+    StoreCopied(usize),
     /// The store keeps only the newest record of each key.
     Compaction,
     /// The proxy in front of an upstream is in this mode.
@@ -146,6 +155,10 @@
             // The intervals vary widely, so that faults occur alone, in quick succession and overlapping.
             at += MEAN_FAULT_INTERVAL.mul_f64(-f64::ln(random.random_range(0.02..1.0)));
         }
+        if mix == FaultMix::Any {
+            // Drawn last, so that a seed keeps its other faults.
+            draw_copies(random, fault_period, &mut faults);
+        }
         Self { faults }
     }
 
@@ -176,6 +189,29 @@
     }
 }
 
+/// Draws returns of the store from a copy, each amid an outage. They may overlap.
+fn draw_copies(random: &mut StdRng, fault_period: Duration, faults: &mut Vec<PlannedFault>) {
+    let interval = |random: &mut StdRng| MEAN_COPY_INTERVAL.mul_f64(random.random_range(0.2..1.8));
+    let mut at = interval(random);
+    let mut number = 0;
+    while at < fault_period {
+        let duration = MAX_FAULT_DURATION.mul_f64(random.random_range(0.3..1.0));
+        faults.push(PlannedFault {
+            at,
+            duration,
+            fault: Fault::StoreCopied(number),
+        });
+        let (before, after) = COPY_OUTAGE;
+        faults.push(PlannedFault {
+            at: at + duration - before,
+            duration: before + after,
+            fault: Fault::StoreDown,
+        });
+        at += interval(random);
+        number += 1;
+    }
+}
+
 fn draw_restart(random: &mut StdRng, instances: usize) -> Fault {
     match random.random_range(0..4) {
         0 => Fault::KillAll,
@@ -274,6 +310,14 @@
                 faults.delayed_appends = if is_active { 2 } else { 0 };
                 faults.append_delay = Duration::from_millis(2_500);
             }),
+            Fault::StoreCopied(number) if is_active => {
+                self.copies.insert(number, self.store.copy());
+            }
+            Fault::StoreCopied(number) => {
+                if let Some(copy) = self.copies.remove(&number) {
+                    self.restore_store(&copy);
+                }
+            }
             Fault::Compaction if is_active => self.store.compact("keyed.servers"),
             Fault::Compaction => {}
             Fault::RunnerLink(index, mode) => {
@@ -318,6 +362,15 @@
         Ok(())
     }
 
+    /// Brings the store back from a copy, and writes again what operators and upstreams have written.
+    fn restore_store(&mut self, copy: &StoreCopy) {
+        self.store.restore(copy);
+        self.store.put_settings(&site_settings(self.settings_version));
+        for (id, entry) in &self.entries {
+            self.store.put_upstream(id, Some(entry));
+        }
+    }
+
     /// Publishes the entry of an upstream that is draining, or has started again.
     pub fn publish_upstream_entry(&mut self, index: usize, is_draining: bool) {
         let upstream = &self.upstreams[index];
@@ -331,6 +384,7 @@
         }
         entry["born"] = self.upstream_starts.into();
         self.store.put_upstream(upstream.id(), Some(&entry));
+        self.entries.insert(upstream.id().to_owned(), entry);
     }
 
     /// Clears all faults and resumes paused processes.
@@ -342,6 +396,7 @@
         for instance in &mut self.instances {
             instance.signal(Signal::CONT)?;
         }
+        self.copies.clear();
         self.store.set_faults(|faults| *faults = Default::default());
         for (index, link) in self.store_links.iter().enumerate() {
             link.set_mode(LinkMode::Open);
--- a/marigoldlock_fleet/src/soak/mod.rs
+++ b/marigoldlock_fleet/src/soak/mod.rs
@@ -20,15 +20,17 @@
 mod tests;
 
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 use eyre::{Result, WrapErr, eyre};
 use marigoldlock_standin::site::{
-    DutyStandin, StoreStandin, UpstreamOptions, UpstreamStandin, instance_file_at, site_settings,
+    DutyStandin, StoreCopy, StoreStandin, UpstreamOptions, UpstreamStandin, instance_file_at, site_settings,
 };
+use marigoldlock_wire::FastMap;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::Value;
 use tokio::time::Instant;
 
 use crate::link::LinkProxy;
@@ -50,6 +52,9 @@
 /// Time for the fleet to recover after the last fault. The platform's rules allow twelve seconds.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
+/// Length of a usage window in the instances' settings.
+const USAGE_WINDOW: Duration = Duration::from_secs(1);
+
 /// Time after the recovery in which the share of answered requests is measured.
 const MEASUREMENT_TIME: Duration = Duration::from_secs(3);
 
@@ -121,6 +126,10 @@
     instances: Vec<InstanceProcess>,
     settings_version: u64,
     names_versions: bool,
+    /// The present entry of each upstream.
+    entries: FastMap<String, Value>,
+    /// Copies from which the store will come back.
+    copies: FastMap<usize, StoreCopy>,
     /// Number of upstream starts, published in the entries to tell a new start from a stale entry.
     upstream_starts: u64,
     block_watch: BlockWatch,
@@ -141,10 +150,12 @@
     let result = inject_faults(options, &mut site, started).await;
     callers.mark_recovered();
     let recovered_at = std::time::Instant::now();
+    // Usage of a window is due ten seconds after its end, which is less than the recovery takes.
+    let recovery_window = usage_window().saturating_sub(RECOVERY_TIME.as_secs() / USAGE_WINDOW.as_secs());
     tokio::time::sleep(MEASUREMENT_TIME).await;
     let calls = callers.close().await;
     let logs = options.folder.display().to_string();
-    let record = site.close(recovered_at).await;
+    let record = site.close(recovered_at, recovery_window).await;
     let schedule = result?;
     Ok(SoakReport::new(options.seed, schedule, &calls, record, logs))
 }
@@ -181,6 +192,12 @@
     Ok(plan.into_faults())
 }
 
+/// Index of the present usage window.
+fn usage_window() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_secs() / USAGE_WINDOW.as_secs()
+}
+
 impl SoakSite {
     async fn start(options: &SoakOptions) -> Result<Self> {
         let mut store = StoreStandin::start().await?;
@@ -225,6 +242,8 @@
             instances,
             settings_version: 1,
             names_versions: options.names_versions,
+            entries: FastMap::default(),
+            copies: FastMap::default(),
             upstream_starts: 0,
             block_watch: BlockWatch::default(),
         };
@@ -257,10 +276,14 @@
     }
 
     /// Shuts all processes down and returns what the stand-ins and the processes recorded.
-    async fn close(self, recovered_at: std::time::Instant) -> record::SiteRecord {
+    async fn close(self, recovered_at: std::time::Instant, recovery_window: u64) -> record::SiteRecord {
+        let usage = self.duties.usage();
         let mut record = record::SiteRecord {
             usage_conflicts: self.duties.conflicts(),
-            windows_reported: self.duties.usage().len(),
+            fence_rivals: self.duties.rivals(),
+            windows_reported: usage.len(),
+            is_usage_silent: usage.keys().all(|window| *window <= recovery_window),
+            store_eras: self.store.era(),
             wrong_blocks: self.block_watch.into_excess(),
             ..record::SiteRecord::default()
         };
--- a/marigoldlock_fleet/src/soak/record.rs
+++ b/marigoldlock_fleet/src/soak/record.rs
@@ -35,8 +35,14 @@
     pub changed_runs: Vec<String>,
     /// Usage windows that were reported again with different counts.
     pub usage_conflicts: u32,
+    /// Duty calls with a fencing number that another holder had sent before.
+    pub fence_rivals: u32,
     /// Number of usage windows reported.
     pub windows_reported: usize,
+    /// True if no window was reported that began after the last fault.
+    pub is_usage_silent: bool,
+    /// Era of the store at the end.
+    pub store_eras: u64,
     /// Blocks on sound requests that stayed in the store for too long.
     pub wrong_blocks: Vec<CrashBlock>,
     /// Exits of processes that no fault caused, and shutdowns that took too long.
@@ -79,6 +85,8 @@
     pub budget_used: f64,
     /// Number of usage windows reported.
     pub windows_reported: usize,
+    /// Era of the store at the end, counted from one.
+    pub store_eras: u64,
     /// Folder with the instances' logs.
     pub logs: String,
 }
@@ -125,6 +133,7 @@
                 .map(|window| window.used())
                 .fold(0.0, f64::max),
             windows_reported: site.windows_reported,
+            store_eras: site.store_eras,
             schedule,
             logs,
         }
@@ -222,6 +231,18 @@
             format!("{} windows", site.usage_conflicts),
         );
     }
+    if site.fence_rivals > 0 {
+        report(
+            "two holders of the duties never send one fencing number",
+            format!("{} calls", site.fence_rivals),
+        );
+    }
+    if site.is_usage_silent {
+        report(
+            "usage is reported after the recovery",
+            format!("{} windows before it", site.windows_reported),
+        );
+    }
     for exit in &site.unexpected_exits {
         report(
             "no process exits unexpectedly or fails to shut down in time",
@@ -244,7 +265,7 @@
         write!(
             out,
             "seed {}: {} faults, {sent} requests, {answered} answered, {not_run} not run, {unknown} unknown, {:.2} served at \
-             the end, {:.2} of the retry budget used, {} crashes and then {} requests that crash, {} usage windows",
+             the end, {:.2} of the retry budget used, {} crashes and then {} requests that crash, {} usage windows, {} store eras",
             self.seed,
             self.schedule.len(),
             self.served_at_end,
@@ -252,6 +273,7 @@
             self.crashing.crashes,
             self.crashing.arrivals,
             self.windows_reported,
+            self.store_eras,
         )?;
         let Some(first) = self.violations.first() else {
             return Ok(());
--- a/marigoldlock_fleet/src/soak/tests.rs
+++ b/marigoldlock_fleet/src/soak/tests.rs
@@ -113,6 +113,16 @@
         ..correct()
     };
     assert_eq!(violation_count(&answered, conflict), 1);
+    let rivals = SiteRecord {
+        fence_rivals: 1,
+        ..correct()
+    };
+    assert_eq!(violation_count(&answered, rivals), 1);
+    let silent = SiteRecord {
+        is_usage_silent: true,
+        ..correct()
+    };
+    assert_eq!(violation_count(&answered, silent), 1);
     let ended = SiteRecord {
         unexpected_exits: vec!["n0 ended".into()],
         ..correct()
@@ -242,4 +252,5 @@
     };
     assert_eq!(plan(7), plan(7));
     assert_ne!(plan(7), plan(8));
+    assert!(plan(7).contains("StoreCopied"));
 }
