Bound the responses of upstreams together

Cause: complete responses were bounded at 8 MB each but not together, and each piece kept a buffer of its own.

Change: one buffer a response, charged to the clients' pool above 64 KiB, given up if there is no room; 64 KiB for the response to a prefill.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::outcome::{AttemptFailure, SendPermit, SendPhase};
 use marigoldlock_core::gateway::pace::LimitStatement;
@@ -17,10 +17,14 @@
 
 use super::call::Call;
 use super::connections::HttpSender;
+use super::upstream_body::read_upstream_body;
 
 /// Largest response that is not a stream, in bytes; it is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Largest response to a prefill, in bytes.
+const MAX_PREFILL_BYTES: usize = 64 << 10;
+
 /// Parameters of an attempt.
 #[derive(Clone, Debug, Default)]
 pub struct AttemptPlan {
@@ -49,6 +53,25 @@
         &self,
         entry: &UpstreamEntry,
         response: UpstreamResponse,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
+        self.read_response_up_to(entry, response, MAX_RESPONSE_BYTES)
+            .await
+    }
+
+    /// Reads the body of the response to a prefill, which names a handle.
+    pub async fn read_prefill_response(
+        &self,
+        entry: &UpstreamEntry,
+        response: UpstreamResponse,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
+        self.read_response_up_to(entry, response, MAX_PREFILL_BYTES).await
+    }
+
+    async fn read_response_up_to(
+        &self,
+        entry: &UpstreamEntry,
+        response: UpstreamResponse,
+        max_bytes: usize,
     ) -> Result<Response<Bytes>, AttemptFailure> {
         let UpstreamResponse {
             sender,
@@ -57,9 +80,9 @@
             body,
             ..
         } = response;
-        let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let read = read_upstream_body(&self.parts, body, max_bytes);
         let body = match tokio::time::timeout(self.time_left(), read).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(err)) => {
                 log::info!(request = self.head.attempt_id, upstream:% = entry.id, error:% = err; "the upstream's response broke off");
                 return Err(AttemptFailure::Broken);
--- a/marigoldlock/src/gateway/intake.rs
+++ b/marigoldlock/src/gateway/intake.rs
@@ -354,6 +354,16 @@
         charge
     }
 
+    /// Charges a part of a large body if there is room without dropping anything else.
+    pub fn charge_free(&self, bytes: u64) -> Option<ByteCharge> {
+        let is_charged = lock(&self.control.ledger).charge_free(self.id, bytes, ByteClass::Large);
+        is_charged.then(|| ByteCharge {
+            control: Arc::clone(&self.control),
+            id: self.id,
+            bytes,
+        })
+    }
+
     /// Charges a response that is complete in memory, and returns it; `None` if there is no room.
     pub async fn charge_response(&self, bytes: Bytes) -> Option<Bytes> {
         let charge = self.charge(bytes.len() as u64, ByteClass::Reserved).await?;
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod send_right;
 mod state;
 mod stream;
+mod upstream_body;
 mod usage;
 mod version_log;
 mod work;
--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -82,7 +82,9 @@
     };
     let mut guard = WorkGuard::new(&call.gateway, &entry.id, uncached);
     let result = match call.send(entry, permit, &plan).await {
-        Ok(response) if response.parts.status.is_success() => call.read_full_response(entry, response).await,
+        Ok(response) if response.parts.status.is_success() => {
+            call.read_prefill_response(entry, response).await
+        }
         Ok(_) => Err(AttemptFailure::Errored),
         Err(failure) => Err(failure),
     };
--- a/marigoldlock_core/src/gateway/intake.rs
+++ b/marigoldlock_core/src/gateway/intake.rs
@@ -343,6 +343,15 @@
         decision
     }
 
+    /// Charges bytes if there is room for them as it is; returns false if there isn't.
+    pub fn charge_free(&mut self, id: ConnectionId, bytes: u64, class: ByteClass) -> bool {
+        let is_free = self.used + bytes <= self.limits.ceiling(class);
+        if is_free {
+            self.add(id, bytes);
+        }
+        is_free
+    }
+
     /// Charges bytes that arrive in any case, and returns the connections to drop because of them.
     pub fn charge_arrived(&mut self, id: ConnectionId, bytes: u64, now: MonoTime) -> Vec<ConnectionId> {
         let decision = self.find_room(bytes, ByteClass::Reserved, now, Some(id));
