Give up the release of a KV cache after a second

Cause: the call that releases a KV cache waited for an answer without a time limit, and held its connection and task for as long.

Change: a limit of one second; the cache expires at the upstream in any case. No test: nothing waits for the call.

--- a/marigoldlock/src/gateway/prefill.rs
+++ b/marigoldlock/src/gateway/prefill.rs
@@ -30,6 +30,9 @@
 /// meantime.
 const BASE_PREFILL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Timeout of the release of a KV cache, which expires at the upstream in any case.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Variable part of the prefill timeout, as a multiple of the estimated time.
 const PREFILL_TIMEOUT_FACTOR: u32 = 4;
 
@@ -275,7 +278,8 @@
                     .await
                     .map_err(std::io::Error::other)
             };
-            if let Err(err) = sent.await {
+            let released = tokio::time::timeout(RELEASE_TIMEOUT, sent).await;
+            if let Err(err) = released.unwrap_or_else(|err| Err(err.into())) {
                 log::info!(upstream:% = address, error:% = err; "releasing a KV cache failed; it expires at the upstream");
             }
         });
