Refuse late requests that a leaving instance may not finish, and answer the rest

Cause: an instance took all requests until its listener closed, 3.3 s after the signal, and on open connections after it, whatever their time, and its exit cut what still ran.

Change: from 3 s after the signal a request that may not be repeated, or a stream, is refused as not run unless it has to end within the grace; it may come back at once, to another instance. 0.3 s before the exit the requests that have no response get one.

--- a/marigoldlock/src/gateway/attempt.rs
+++ b/marigoldlock/src/gateway/attempt.rs
@@ -81,13 +81,13 @@
             ..
         } = response;
         let read = read_upstream_body(&self.parts, body, max_bytes);
-        let body = match tokio::time::timeout(self.time_left(), read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(err)) => {
+        let body = match self.gateway.limit_time(self.time_left(), read).await {
+            Some(Ok(body)) => body,
+            Some(Err(err)) => {
                 log::info!(request = self.head.attempt_id, upstream:% = entry.id, error:% = err; "the upstream's response broke off");
                 return Err(AttemptFailure::Broken);
             }
-            Err(_) => return Err(AttemptFailure::TimedOut),
+            None => return Err(AttemptFailure::TimedOut),
         };
         self.release_connection(entry, sender, &head);
         let mut response = Response::new(body);
@@ -238,9 +238,9 @@
         )
         .increment(1);
         let sent_at = self.gateway.now();
-        let sent = tokio::time::timeout(plan.timeout, sender.try_send_request(request)).await;
-        match sent {
-            Ok(Ok(response)) => {
+        let sent = sender.try_send_request(request);
+        match self.gateway.limit_time(plan.timeout, sent).await {
+            Some(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let head = self.gateway.parts.upstream_protocol.read_response(&parts);
                 Ok(UpstreamResponse {
@@ -251,7 +251,7 @@
                     body,
                 })
             }
-            Ok(Err(mut err)) => {
+            Some(Err(mut err)) => {
                 let is_sent = err.take_message().is_none();
                 let error = err.into_error();
                 log::info!(
@@ -264,7 +264,7 @@
                     AttemptFailure::NotSent
                 })
             }
-            Err(_) => Err(AttemptFailure::TimedOut),
+            None => Err(AttemptFailure::TimedOut),
         }
     }
 
--- a/marigoldlock/src/gateway/call.rs
+++ b/marigoldlock/src/gateway/call.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use marigoldlock_core::gateway::blame::SuspectKey;
 use marigoldlock_core::gateway::choice::{ChoiceContext, pick_plain};
+use marigoldlock_core::gateway::leaving::LeavePlan;
 use marigoldlock_core::gateway::origins::VersionKey;
 use marigoldlock_core::gateway::outcome::{AttemptFailure, AttemptHistory, SendPermit, SendPhase};
 use marigoldlock_core::gateway::pace::PaceTurn;
@@ -130,6 +131,13 @@
     if let RequestSender::Instance(time_left) = received_from {
         timeout = timeout.min(time_left);
     }
+    if let Some(plan) = gateway.leave.get()
+        && !plan.may_take(route.kind, timeout, arrived)
+    {
+        // Other instances take it at once.
+        let refusal = Refusal::new(RefusalCause::NotReady).retry_after(Duration::ZERO);
+        return refuse(&gateway, &head, Some(&route.name), refusal);
+    }
     let limits = BodyLimits {
         max_bytes: settings.limits.body_bytes,
         window: settings.limits.header_timeout,
@@ -242,8 +250,15 @@
 }
 
 impl Call {
-    /// Time left until the deadline.
+    /// Time left until the deadline, or until the process has to answer because it ends.
     pub fn time_left(&self) -> Duration {
+        let end = self.gateway.leave.get().map(LeavePlan::answers_at);
+        let deadline = end.map_or(self.deadline, |end| end.min(self.deadline));
+        deadline.since(self.gateway.now())
+    }
+
+    /// The same for a response that has begun: it goes on until the process ends.
+    pub fn stream_time_left(&self) -> Duration {
         self.deadline.since(self.gateway.now())
     }
 
--- a/marigoldlock/src/gateway/forward.rs
+++ b/marigoldlock/src/gateway/forward.rs
@@ -120,16 +120,16 @@
             return Err(ForwardFailure::NotRun);
         }
         let sent = connection.try_send_request(self.forwarded_request(time_left));
-        let response = match tokio::time::timeout(time_left + RESPONSE_MARGIN, sent).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(mut err)) => {
+        let response = match self.gateway.limit_time(time_left + RESPONSE_MARGIN, sent).await {
+            Some(Ok(response)) => response,
+            Some(Err(mut err)) => {
                 if err.take_message().is_some() {
                     return Err(ForwardFailure::NotRun);
                 }
                 log::info!(request = self.head.attempt_id, instance:% = card.id, error:% = err.into_error(); "no response from the other instance");
                 return Err(ForwardFailure::Lost);
             }
-            Err(_) => return Err(ForwardFailure::TimedOut),
+            None => return Err(ForwardFailure::TimedOut),
         };
         if response.headers().contains_key(CUT_OFF) {
             return Err(ForwardFailure::NotRun);
--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 mod tests;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,6 +56,7 @@
 use marigoldlock_core::gateway::exchange::FleetView;
 use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_core::gateway::intake::{ClientKind, IntakeLimits, MachineSize};
+use marigoldlock_core::gateway::leaving::LeavePlan;
 use marigoldlock_core::gateway::members::{MemberCard, MemberStage};
 use marigoldlock_core::gateway::pace::PaceTurn;
 use marigoldlock_core::gateway::prelude::*;
@@ -176,6 +177,10 @@
     tracker: TaskTracker,
     /// Cancelled when callers' listeners and connections shut down.
     closing: CancellationToken,
+    /// Times of the shutdown, once it has begun.
+    leave: OnceLock<LeavePlan>,
+    /// Cancelled when requests that still run have to be answered.
+    answers_due: CancellationToken,
     /// Cancelled when the instance is aborted.
     killed: CancellationToken,
 }
@@ -197,6 +202,15 @@
         self.parts.clock.now()
     }
 
+    /// Waits for work on behalf of a request; `None` if it takes longer than `timeout`, or the process is about to end.
+    async fn limit_time<F: Future>(&self, timeout: Duration, work: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            result = tokio::time::timeout(timeout, work) => result.ok(),
+            () = self.answers_due.cancelled() => None,
+        }
+    }
+
     /// Changes what is known of crashes, and logs what that blocks.
     fn change_crashes(&self, change: impl FnOnce(&mut CrashTable, FleetTime)) {
         let time = FleetTime {
@@ -274,6 +288,8 @@
             )),
             tracker: TaskTracker::new(),
             closing: CancellationToken::new(),
+            leave: OnceLock::new(),
+            answers_due: CancellationToken::new(),
             killed: CancellationToken::new(),
             parts,
         });
@@ -387,11 +403,21 @@
         let gateway = self.gateway;
         let grace = gateway.bounds().shutdown_grace.saturating_sub(KILL_MARGIN);
         let started = tokio::time::Instant::now();
+        let plan = LeavePlan::new(gateway.now(), grace);
+        let plan = *gateway.leave.get_or_init(|| plan);
         gateway.state().stage = MemberStage::Leaving;
         log::info!(grace_ms = grace.as_millis() as u64; "instance is leaving");
         tokio::time::sleep(LEAVE_NOTICE.min(grace / 2)).await;
         gateway.closing.cancel();
         gateway.tracker.close();
+        let until_answers = plan.answers_at().since(gateway.now());
+        if tokio::time::timeout(until_answers, gateway.tracker.wait())
+            .await
+            .is_err()
+        {
+            log::info!(requests = gateway.tracker.len(); "the grace ends; answering the requests that still run");
+            gateway.answers_due.cancel();
+        }
         let left = grace.saturating_sub(started.elapsed());
         let is_clean = tokio::time::timeout(left, gateway.tracker.wait()).await.is_ok();
         self.background.cancel();
--- a/marigoldlock/src/gateway/stream.rs
+++ b/marigoldlock/src/gateway/stream.rs
@@ -289,7 +289,7 @@
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sender.closed() => return StreamEnd::CallerLeft,
-            () = tokio::time::sleep(call.time_left()) => return StreamEnd::TimedOut,
+            () = tokio::time::sleep(call.stream_time_left()) => return StreamEnd::TimedOut,
         };
         let data = match frame {
             None if splitter.buffered_bytes() == 0 => return StreamEnd::Complete,
--- a/marigoldlock_core/src/gateway/mod.rs
+++ b/marigoldlock_core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod exchange;
 pub mod hedge;
 pub mod intake;
+pub mod leaving;
 pub mod members;
 pub mod news;
 pub mod origins;
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod herding;
 mod intake;
+mod leaving;
 mod load;
 mod members;
 mod news;
