Let the sum of slots saturate

Cause: the sum of a service's slots, which hedged requests use, overflowed for two entries with the largest number of slots: a panic in a debug build, a wrong sum in a release build. Found by the test of odd entries.

Result: upstreams_with_endless_slots_are_used failed with 'attempt to add with overflow' and passes now.

--- a/marigoldlock/src/gateway/hedge.rs
+++ b/marigoldlock/src/gateway/hedge.rs
@@ -225,7 +225,7 @@
         for entry in state.catalog.usable(&self.service) {
             let upstream = state.upstreams.get(&entry.id);
             load.requests += upstream.map_or(0, |upstream| upstream.requests(now));
-            load.slots += entry.slots;
+            load.slots = load.slots.saturating_add(entry.slots);
         }
         state.hedges.record_load(&self.service, load, now);
     }
--- a/marigoldlock/tests/platform_odd_entries.rs
+++ b/marigoldlock/tests/platform_odd_entries.rs
@@ -2,6 +2,7 @@
 
 mod platform_support;
 
+use marigoldlock_core::gateway::hedge::HedgeShare;
 use marigoldlock_standin::site::site_settings;
 use platform_support::{Site, wait_until};
 use serde_json::{Value, json};
@@ -151,3 +152,20 @@
     site.start_instance(1).await.unwrap();
     assert_eq!(site.send(1, "/look/x", "l1").await.status(), 200);
 }
+
+/// Guards against a sum of slots that overflows: one entry is in range, two are not.
+#[tokio::test]
+async fn upstreams_with_endless_slots_are_used() {
+    let mut site = Site::start(0).await;
+    for id in ["a1", "a2"] {
+        let mut entry = site.runner(id).entry("ready");
+        entry["Slots"] = u32::MAX.into();
+        site.store.put_upstream(id, Some(&entry));
+    }
+    let share = HedgeShare::try_new(0.05).unwrap();
+    site.start_hedging_instance(0, share).await.unwrap();
+    for call in 0..20 {
+        let answer = site.send(0, "/look/x", &format!("l{call}")).await;
+        assert_eq!(answer.status(), 200);
+    }
+}
