Claim at once only while nobody else has claimed in the era

Cause: an instance that had held the duties when the store came back from a copy went on to count as the former holder after it had read another's claim of the new era, and would have claimed without the usual wait once the lease was over. Found by reading.

Change: it claims at once only if the stream of the era holds no claim. An era that is known is recognised before the usage window is computed, as with each answer and heartbeat.

--- a/marigoldlock/src/gateway/duties.rs
+++ b/marigoldlock/src/gateway/duties.rs
@@ -107,7 +107,7 @@
                 holders.max(),
                 view.is_successor(),
                 state.store.is_reachable() && view.is_first_successor(),
-                state.reclaims_duties,
+                state.reclaims_duties && state.duty_state.claim().is_none(),
                 known,
             )
         };
--- a/marigoldlock/src/gateway/era.rs
+++ b/marigoldlock/src/gateway/era.rs
@@ -35,6 +35,11 @@
 
     /// Enters an era if it is newer than the present one; returns the present one.
     pub(super) fn enter_era(&self, era: StoreEra) -> StoreEra {
+        if let Some(known) = self.state().known_era()
+            && era <= known
+        {
+            return known;
+        }
         let first_window = self.window(self.fleet_unix_ms());
         let now = self.now();
         let mut state = self.state();
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -275,7 +275,12 @@
         }
     }
 
-    /// The newest era of the store that this instance knows of.
+    /// The newest era of the store that this instance knows of; `None` before the first contact.
+    pub fn known_era(&self) -> Option<StoreEra> {
+        self.era
+    }
+
+    /// The same, or the first era.
     pub fn store_era(&self) -> StoreEra {
         self.era.unwrap_or_default()
     }
