Let counts of a window count in one era too

Cause: a record of counts that a former holder had sent could be carried out late, after the store had lost the counts that its successor had fixed and reported at the same offset; a reader took it for fixed.

Change: such a record names the era that its writer knew and counts in that era only, as claims do. It also names the first window that can't have been reported in an earlier era, so that this outlasts the claim in a stream with a short history. The model check keeps the era of a read's position apart from that of its answer, as the client does, and checks that no node skips records of its era; a sixth seeded fault, counts of an earlier era taken for those of the present one, is caught.

--- a/marigoldlock/src/gateway/usage.rs
+++ b/marigoldlock/src/gateway/usage.rs
@@ -9,7 +9,6 @@
 
 use marigoldlock_core::gateway::adapter::{DutyHolder, DutyOutcome};
 use marigoldlock_core::gateway::call::CustomerCounts;
-use marigoldlock_core::gateway::duty::DutyRecord;
 use marigoldlock_core::gateway::usage::EndedWindow;
 use marigoldlock_core::prelude::*;
 
@@ -199,14 +198,15 @@
         window: u64,
         counts: Vec<(CustomerId, u64)>,
     ) -> Option<Vec<(CustomerId, u64)>> {
-        let end = {
+        let (record, end) = {
             let state = self.gateway.state();
             if state.duty_fence != Some(fence) {
                 return None;
             }
-            state.duty_state.position()
+            let duty_state = &state.duty_state;
+            (duty_state.new_counts(window, counts), duty_state.position())
         };
-        if !self.log.append(DutyRecord::Usage { window, counts }, end).await {
+        if !self.log.append(record, end).await {
             return None;
         }
         self.gateway.state().duty_state.usage(window).map(<[_]>::to_vec)
--- a/marigoldlock_core/src/gateway/duty.rs
+++ b/marigoldlock_core/src/gateway/duty.rs
@@ -14,8 +14,9 @@
 //! process runs, so both hold for a holder that was frozen.
 //!
 //! When the store comes back from a copy, records may be lost and their offsets given out again. A claim names the era that its
-//! writer knew and counts in that era only, so the duties are claimed anew and fencing numbers rise. Counts that were read stay
-//! known, and the holder writes them again. Counts that were lost and that nobody read may have been reported: a claim names
+//! writer knew and counts in that era only, so the duties are claimed anew and fencing numbers rise. The same holds for counts: a
+//! record of an earlier era may be the copy's, or an append that was carried out late where others had stood. Counts that were
+//! read in their own era stay known, and the holder writes them again. Counts that were lost and that nobody read may have been reported: a claim names
 //! the first window of which that is impossible, and its holder fixes counts from there on only.
 
 use std::time::Duration;
@@ -61,6 +62,10 @@
         window: u64,
         /// Started requests by customer.
         counts: Vec<(CustomerId, u64)>,
+        /// Era in which the counts are fixed.
+        era: StoreEra,
+        /// First usage window that can't have been reported in an earlier era.
+        first_window: u64,
     },
     /// The holder renews its right to send calls.
     Renewal {
@@ -91,7 +96,7 @@
     usage: FastMap<u64, Vec<(CustomerId, u64)>>,
     /// Windows whose counts the stream holds in this era.
     stored: FastSet<u64>,
-    /// The first window of the claims of this era.
+    /// The first window of the records of this era.
     claimed_window: Option<u64>,
     /// The first window that can't have been reported in an earlier era, as far as this process knows.
     first_window: u64,
@@ -139,6 +144,16 @@
         }
     }
 
+    /// The final counts of a window in the present era.
+    pub fn new_counts(&self, window: u64, counts: Vec<(CustomerId, u64)>) -> DutyRecord {
+        DutyRecord::Usage {
+            window,
+            counts,
+            era: self.era,
+            first_window: self.claimed_window.unwrap_or(self.first_window),
+        }
+    }
+
     /// Continues at `offset` after older records have expired.
     pub fn skip_to(&mut self, offset: u64) {
         if offset > self.next_offset {
@@ -174,7 +189,15 @@
                     read_at: now,
                 });
             }
-            DutyRecord::Usage { window, counts } => {
+            // The same: in its own era, other counts may have been fixed at this offset.
+            DutyRecord::Usage { era, .. } if era != self.era => {}
+            DutyRecord::Usage {
+                window,
+                counts,
+                first_window,
+                ..
+            } => {
+                self.claimed_window = Some(first_window);
                 self.usage.entry(window).or_insert(counts);
                 self.usage.retain(|index, _| index + RETAINED_WINDOWS > window);
                 self.stored.insert(window);
--- a/marigoldlock_core/src/gateway/tests/duty.rs
+++ b/marigoldlock_core/src/gateway/tests/duty.rs
@@ -59,10 +59,7 @@
     let mut state = DutyState::default();
     let counts = |count| vec![(CustomerId::from("acme"), count)];
     for (offset, count) in [(0, 5), (1, 6)] {
-        let record = DutyRecord::Usage {
-            window: 3,
-            counts: counts(count),
-        };
+        let record = state.new_counts(3, counts(count));
         state.apply(offset, record, at(0));
     }
     assert_eq!(state.usage(3), Some(counts(5).as_slice()));
@@ -172,7 +169,8 @@
                 if self.held[who].is_some() && self.states[who].usage(window).is_none() {
                     // Each instance has different counts.
                     let counts = vec![(CustomerId::from("acme"), who as u64 + self.now)];
-                    if self.append(who, DutyRecord::Usage { window, counts }, outcome, error) {
+                    let record = self.states[who].new_counts(window, counts);
+                    if self.append(who, record, outcome, error) {
                         self.read(who);
                     }
                 }
--- a/marigoldlock_core/tests/model_store_era.rs
+++ b/marigoldlock_core/tests/model_store_era.rs
@@ -31,6 +31,8 @@
     WindowRecounted,
     /// An answer counts although the store has come back since it was sent.
     AnswerUndated,
+    /// Counts of an earlier era are taken for those of this one.
+    CountsUndated,
 }
 
 /// How often each disruption may happen.
@@ -92,6 +94,14 @@
     stored: Option<Result<StorePosition, StoreEra>>,
 }
 
+/// What the store has answered to a read from a position.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct PendingRead {
+    from: StorePosition,
+    era: StoreEra,
+    records: Vec<Record>,
+}
+
 /// A record, in a form that can be compared.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Record {
@@ -104,10 +114,31 @@
     Usage {
         window: u8,
         count: u64,
+        era: StoreEra,
+        first_window: u64,
     },
 }
 
 impl Record {
+    /// The record as a reader in `era` takes it.
+    fn read_in(self, era: StoreEra, fault: SeededFault) -> DutyRecord {
+        match self {
+            Self::Usage {
+                window,
+                count,
+                first_window,
+                ..
+            } if fault == SeededFault::CountsUndated => Self::Usage {
+                window,
+                count,
+                era,
+                first_window,
+            }
+            .duty_record(),
+            record => record.duty_record(),
+        }
+    }
+
     fn duty_record(self) -> DutyRecord {
         match self {
             Self::Claim {
@@ -121,9 +152,16 @@
                 era,
                 first_window,
             },
-            Self::Usage { window, count } => DutyRecord::Usage {
+            Self::Usage {
+                window,
+                count,
+                era,
+                first_window,
+            } => DutyRecord::Usage {
                 window: window.into(),
                 counts: vec![(CustomerId::from("acme"), count)],
+                era,
+                first_window,
             },
         }
     }
@@ -135,7 +173,7 @@
     era: Option<StoreEra>,
     state: DutyState,
     held: Option<u64>,
-    read: Option<(StorePosition, Vec<Record>)>,
+    read: Option<PendingRead>,
     append: Option<PendingAppend>,
 }
 
@@ -216,6 +254,8 @@
     fault: SeededFault,
     /// Windows that have ended at the start.
     ended: u8,
+    /// True if the first node holds the duties at the start, and the second has read its claim.
+    is_claimed: bool,
 }
 
 fn name_of(node: usize) -> InstanceId {
@@ -285,21 +325,25 @@
     }
 
     /// What the store answers to a read of a node now.
-    fn read(world: &World, index: usize) -> Option<(StorePosition, Vec<Record>)> {
+    fn read(world: &World, index: usize) -> Option<PendingRead> {
         let from = world.nodes[index].state.position();
         let offset = usize::try_from(from.offset).ok()?;
         let records = world.log.get(offset..).unwrap_or_default().to_vec();
-        Some((StorePosition::new(world.era, from.offset), records))
+        Some(PendingRead {
+            from,
+            era: world.era,
+            records,
+        })
     }
 
-    fn read_answer(&self, world: &mut World, index: usize, read: (StorePosition, Vec<Record>)) {
-        let (from, records) = read;
-        let is_same = world.nodes[index].era == Some(from.era);
+    fn read_answer(&self, world: &mut World, index: usize, read: PendingRead) {
         // An answer of another era than that of the position says nothing.
-        if self.enter(world, index, from.era) && (is_same || self.keeps_answers()) {
+        let is_same = read.from.era == read.era || self.keeps_answers();
+        if self.enter(world, index, read.era) && is_same {
             let node = &mut world.nodes[index];
-            for (number, record) in (from.offset..).zip(records) {
-                node.state.apply(number, record.duty_record(), time());
+            for (number, record) in (read.from.offset..).zip(read.records) {
+                let record = record.read_in(node.state.position().era, self.fault);
+                node.state.apply(number, record, time());
             }
         }
         if world.nodes[index].held != Self::own_fence(world, index) {
@@ -375,7 +419,19 @@
                     // Each process has heard of other requests.
                     None => 1 + index as u64 + 10 * u64::from(node.boot),
                 };
-                Self::send(&mut world, index, Record::Usage { window, count })?;
+                let DutyRecord::Usage {
+                    era, first_window, ..
+                } = node.state.new_counts(window.into(), Vec::new())
+                else {
+                    return None;
+                };
+                let record = Record::Usage {
+                    window,
+                    count,
+                    era,
+                    first_window,
+                };
+                Self::send(&mut world, index, record)?;
             }
             Step::Store(index) => {
                 let (era, end) = (world.era, world.log.len() as u64);
@@ -426,8 +482,10 @@
                     return None;
                 }
                 // What a node knows that has not learned of the era may be lost.
-                let is_kept =
-                    node.era != Some(world.era) || world.log.contains(&Record::Usage { window, count });
+                let is_held = world.log.iter().any(|record| {
+                    matches!(record, Record::Usage { window: held, count: value, .. } if (*held, *value) == (window, count))
+                });
+                let is_kept = node.era != Some(world.era) || is_held;
                 if world.reports.contains(&(window, count, is_kept)) {
                     return None;
                 }
@@ -461,7 +519,7 @@
     type Step = Step;
 
     fn start(&self) -> World {
-        World {
+        let mut world = World {
             budget: self.budget,
             now: self.ended,
             era: StoreEra(1),
@@ -470,7 +528,20 @@
             highest: None,
             has_rivals: false,
             reports: Vec::new(),
+        };
+        if self.is_claimed {
+            let steps = [
+                Step::Read(0),
+                Step::Read(1),
+                Step::Claim(0),
+                Step::Store(0),
+                Step::Answer(0),
+            ];
+            for step in steps.into_iter().chain([Step::Claim(0), Step::Read(1)]) {
+                world = self.run(&world, step).expect("the store is in its first era");
+            }
         }
+        world
     }
 
     fn steps(&self, world: &World) -> Vec<(Step, World)> {
@@ -506,6 +577,9 @@
         if world.reports.iter().any(|(_, _, is_kept)| !is_kept) {
             return Some("counts were reported that the store does not hold".into());
         }
+        if world.nodes.iter().any(|node| has_skipped(world, node)) {
+            return Some("a node has skipped records of the era".into());
+        }
         for (window, count, _) in &world.reports {
             if world
                 .reports
@@ -519,11 +593,29 @@
     }
 }
 
+/// True if a node that is in the store's era doesn't know the latest claim before its position.
+fn has_skipped(world: &World, node: &Node) -> bool {
+    if node.era != Some(world.era) {
+        return false;
+    }
+    let position = node.state.position();
+    let read = usize::try_from(position.offset).unwrap_or(usize::MAX);
+    let Some(read) = world.log.get(..read) else {
+        return true;
+    };
+    let claims = (0..).zip(read).filter_map(|(offset, record)| match record {
+        Record::Claim { era, .. } if *era == world.era => Some(StorePosition::new(*era, offset).fence()),
+        _ => None,
+    });
+    claims.last() != node.state.claim().map(|claim| claim.fence)
+}
+
 fn space(budget: Budget, fault: SeededFault) -> DutySpace {
     DutySpace {
         budget,
         fault,
         ended: 0,
+        is_claimed: false,
     }
 }
 
@@ -588,6 +680,22 @@
     assert_safe("store era, lost answer", &space(budget, SeededFault::None));
 }
 
+/// Guards against counts that a former holder sent for a window which its successor reported, and which were appended once the
+/// store had lost the successor's.
+#[test]
+fn counts_that_are_appended_late_break_nothing() {
+    let budget = Budget {
+        appends: 5 + extra_bound(),
+        ..ONE_RESTORE
+    };
+    let space = DutySpace {
+        ended: WINDOWS,
+        is_claimed: true,
+        ..space(budget, SeededFault::None)
+    };
+    assert_safe("store era, late counts", &space);
+}
+
 #[test]
 fn a_cursor_that_is_kept_is_caught() {
     let budget = Budget {
@@ -631,6 +739,20 @@
     assert_caught("window recounted", "different counts", &space(budget, fault));
 }
 
+#[test]
+fn counts_of_an_earlier_era_are_caught() {
+    let budget = Budget {
+        appends: 5,
+        ..ONE_RESTORE
+    };
+    let space = DutySpace {
+        ended: WINDOWS,
+        is_claimed: true,
+        ..space(budget, SeededFault::CountsUndated)
+    };
+    assert_caught("counts undated", "the store does not hold", &space);
+}
+
 #[test]
 fn an_answer_of_an_earlier_era_is_caught() {
     let budget = Budget {
@@ -638,5 +760,5 @@
         ..ONE_RESTORE
     };
     let fault = SeededFault::AnswerUndated;
-    assert_caught("answer undated", "the store does not hold", &space(budget, fault));
+    assert_caught("answer undated", "skipped records", &space(budget, fault));
 }
