Test duties where no fence is checked across returns of the store

Cause: the rule for holders whose calls nobody checks had no test with a store that comes back from a copy while the holder is frozen, its append or its call under way; the model check has no clock.

Change: random schedules with up to three returns. The model check gains a return that comes twice beside a kill.

--- a/marigoldlock_core/src/gateway/tests/duty_unfenced.rs
+++ b/marigoldlock_core/src/gateway/tests/duty_unfenced.rs
@@ -1,5 +1,6 @@
 //! Tests of the holder's right to send calls to receivers that check no fencing number: random schedules of processes that stop at
-//! any point, clocks that run apart, a store whose calls take effect or are answered late, and calls that are executed late.
+//! any point, clocks that run apart, a store whose calls take effect or are answered late and which may come back from a copy, and
+//! calls that are executed late.
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use super::at;
 use crate::gateway::duty::{DutyRecord, DutyState, SEND_SHARE};
+use crate::gateway::era::{StoreEra, StorePosition};
 use crate::time::MonoTime;
 
 const LEASE: Duration = Duration::from_millis(3_000);
@@ -42,6 +44,8 @@
     Write,
     /// The receiver executes the oldest call on the way.
     Execute,
+    /// The store comes back from a copy with this many records.
+    Return(usize),
 }
 
 const STEPS: [Step; 9] = [
@@ -106,6 +110,24 @@
     collection::vec(part, 1..40).prop_map(|parts| parts.concat())
 }
 
+/// The same, with up to three returns of the store in between. What follows a return at once is often a claim.
+fn schedules_with_returns() -> impl Strategy<Value = Schedule> {
+    let part = (schedules(), 0_usize..4, 0..PROCESSES, any::<bool>());
+    collection::vec(part, 1..4).prop_map(|parts| {
+        let parts = parts.into_iter().map(|(mut schedule, length, who, claims)| {
+            schedule.push((who, 0, Step::Return(length)));
+            if claims {
+                let steps = [Step::Read, Step::ReadResponse]
+                    .into_iter()
+                    .chain(SEQUENCES[8].iter().copied());
+                schedule.extend(steps.map(|step| (who, 0, step)));
+            }
+            schedule
+        });
+        parts.collect::<Vec<_>>().concat()
+    })
+}
+
 /// A deliberate error that the test must detect.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum SeededError {
@@ -116,23 +138,33 @@
     LateGrant,
     /// A successor sends as soon as its claim is confirmed.
     EagerSuccessor,
+    /// The first claim after a return is taken for the first of all, which no former holder precedes.
+    EagerEra,
 }
 
 /// An append of one process.
 #[derive(Clone, Debug)]
 struct PendingAppend {
     record: DutyRecord,
-    end: u64,
+    end: StorePosition,
     sent_at: MonoTime,
-    /// Result of the store, once it has executed the append.
-    stored: Option<bool>,
+    /// Result of the store and its era, once it has executed the append.
+    stored: Option<(bool, StoreEra)>,
+}
+
+/// The response to a read.
+#[derive(Clone, Debug)]
+struct PendingRead {
+    from: StorePosition,
+    era: StoreEra,
+    records: Vec<DutyRecord>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Process {
     state: DutyState,
-    /// Records that a read has returned.
-    read: Option<Vec<(u64, DutyRecord)>>,
+    /// What a read has returned.
+    read: Option<PendingRead>,
     append: Option<PendingAppend>,
     /// Fencing number of the call that is due.
     decided: Option<u64>,
@@ -149,6 +181,7 @@
 #[derive(Default)]
 struct Simulation {
     now_ms: u64,
+    era: StoreEra,
     log: Vec<DutyRecord>,
     processes: [Process; PROCESSES],
     calls: Vec<SentCall>,
@@ -168,22 +201,28 @@
     fn run(&mut self, who: usize, step: Step, error: SeededError) {
         let now = self.time(who);
         let id = Self::id(who);
+        let store_era = self.era;
         let log = &mut self.log;
         let process = &mut self.processes[who];
         let state = &mut process.state;
         let fence = state.fence_of(&id, Incarnation(1));
         match step {
             Step::Read => {
-                let unread = log.iter().enumerate().skip(state.next_offset() as usize);
-                process.read = Some(
-                    unread
-                        .map(|(offset, record)| (offset as u64, record.clone()))
-                        .collect(),
-                );
+                let from = state.position();
+                process.read = Some(PendingRead {
+                    from,
+                    era: store_era,
+                    records: log.iter().skip(from.offset as usize).cloned().collect(),
+                });
             }
             Step::ReadResponse => {
-                for (offset, record) in process.read.take().unwrap_or_default() {
-                    state.apply(offset, record, now);
+                if let Some(read) = process.read.take()
+                    && Self::enter(state, read.era, now, error)
+                    && read.from.era == read.era
+                {
+                    for (offset, record) in (read.from.offset..).zip(read.records) {
+                        state.apply(offset, record, now);
+                    }
                 }
             }
             Step::Append if process.append.is_none() => {
@@ -194,15 +233,15 @@
                 };
                 process.append = Some(PendingAppend {
                     record,
-                    end: state.next_offset(),
+                    end: state.position(),
                     sent_at: now,
                     stored: None,
                 });
             }
             Step::StoreAppend => {
                 if let Some(append) = process.append.as_mut().filter(|append| append.stored.is_none()) {
-                    let is_stored = append.end == log.len() as u64;
-                    append.stored = Some(is_stored);
+                    let is_stored = append.end.offset == log.len() as u64;
+                    append.stored = Some((is_stored, store_era));
                     if is_stored {
                         log.push(append.record.clone());
                     }
@@ -210,9 +249,12 @@
             }
             Step::AppendResponse => {
                 if let Some(append) = process.append.take_if(|append| append.stored.is_some())
-                    && append.stored == Some(true)
+                    && let Some((is_stored, era)) = append.stored
+                    && Self::enter(state, era, now, error)
+                    && is_stored
+                    && append.end.era == era
                 {
-                    state.apply(append.end, append.record, now);
+                    state.apply(append.end.offset, append.record, now);
                     let sent_at = if error == SeededError::LateGrant {
                         now
                     } else {
@@ -242,10 +284,23 @@
                     self.executed.push((call.who, call.fence, self.now_ms));
                 }
             }
+            Step::Return(length) => {
+                log.truncate(length);
+                self.era = StoreEra(store_era.0 + 1);
+            }
             Step::Append => {}
         }
     }
 
+    /// A process learns the era of a response; returns false if the response is out of date.
+    fn enter(state: &mut DutyState, era: StoreEra, now: MonoTime, error: SeededError) -> bool {
+        let known = state.position().era;
+        if known < era {
+            state.enter_era(era, u64::from(error != SeededError::EagerEra), now);
+        }
+        known <= era
+    }
+
     fn may_send(state: &DutyState, fence: u64, now: MonoTime, error: SeededError) -> bool {
         let is_allowed = state.may_send(fence, now, LEASE);
         is_allowed || error == SeededError::EagerSuccessor && !state.needs_renewal(now, LEASE)
@@ -305,6 +360,28 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against calls of a holder, frozen or not, whose claim the store has lost.
+    #[test]
+    fn no_call_of_a_holder_from_before_a_return_is_executed(schedule in schedules_with_returns()) {
+        prop_assert_eq!(run(&schedule, SeededError::None).violation(), None);
+    }
+}
+
+#[test]
+fn an_early_call_after_a_return_is_detected() {
+    let mut runner = TestRunner::new(config());
+    let found = (0..config().cases).find_map(|case| {
+        let schedule = schedules_with_returns().new_tree(&mut runner).unwrap().current();
+        let violation = run(&schedule, SeededError::EagerEra).violation()?;
+        Some((case, violation))
+    });
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
 /// Schedules must reach what they guard against: successors that send calls after another holder did.
 #[test]
 fn several_holders_send_calls_in_turn() {
--- a/marigoldlock_core/tests/model_store_era.rs
+++ b/marigoldlock_core/tests/model_store_era.rs
@@ -642,6 +642,22 @@
     assert_safe("store era, twice", &space);
 }
 
+#[test]
+fn a_killed_holder_at_a_store_that_comes_back_twice_breaks_nothing() {
+    let budget = Budget {
+        restores: 2,
+        kills: 1,
+        appends: 3 + extra_bound(),
+        ..ONE_RESTORE
+    };
+    let space = DutySpace {
+        ended: WINDOWS,
+        is_claimed: true,
+        ..space(budget, SeededFault::None)
+    };
+    assert_safe("store era, twice and killed", &space);
+}
+
 #[test]
 fn a_restart_beside_a_store_that_comes_back_breaks_nothing() {
     let budget = Budget {
