Read the members once at the start, not twice

Cause: the first contact with the store counted as a change of its era for the task that lists the members, so each start cost one more call. Found by reading.

Change: only a later era ends its wait.

--- a/marigoldlock/src/gateway/era.rs
+++ b/marigoldlock/src/gateway/era.rs
@@ -50,8 +50,8 @@
         if let EraChange::Later(before) = change {
             log::warn!(era:%, before:%; "the store has come back from a copy; reading its streams again");
             metrics::counter!("gateway_store_eras_total").increment(1);
+            self.era_changed.notify_waiters();
         }
-        self.era_changed.notify_waiters();
         era
     }
 }
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -4,7 +4,7 @@
 mod platform_support;
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use marigoldlock_standin::site::{StoreCopy, site_settings};
 use platform_support::{Site, wait_until};
@@ -12,6 +12,9 @@
 /// Time after its notice from which a leaving upstream gets no requests, by the platform's page.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 
+/// Time between two listings of the members by one instance that is alone.
+const MEMBER_LIST_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// Windows of usage that were accepted.
 fn windows(site: &Site) -> BTreeSet<u64> {
     site.duties.usage().into_keys().collect()
@@ -242,6 +245,31 @@
     assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
+/// Guards against streams that are listed again, or duties that change hands, though the store has lost nothing.
+#[tokio::test]
+async fn a_calm_start_and_a_plain_outage_list_nothing_again() {
+    let started = Instant::now();
+    let mut site = Site::start(1).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let due = 1 + (started.elapsed().as_secs_f64() / MEMBER_LIST_INTERVAL.as_secs_f64()) as u64;
+    assert!(site.store.listings("keyed.members") <= due, "{due} were due");
+    site.start_instance(1).await.unwrap();
+    let holder = report_new_window(&site, 0, "before").await;
+    // Five upstreams are two pages.
+    let listings = || ["keyed.servers", "keyed.op"].map(|topic| site.store.listings(topic));
+    assert_eq!(listings(), [4, 2]);
+    site.store.set_faults(|faults| faults.refuse = Some(503));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    site.store.set_faults(|faults| faults.refuse = None);
+    site.store.put_settings(&site_settings(40));
+    for instance in &site.instances {
+        wait_until("the settings are read", || instance.settings_version() == 40).await;
+    }
+    assert_eq!(listings(), [4, 2], "the followers read on");
+    assert_eq!(report_new_window(&site, 0, "after").await, holder);
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
+}
+
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
 #[tokio::test]
 async fn a_member_card_that_was_lost_is_written_again() {
