Keep an upstream in use that had been removed and had returned

Found by reading.

Change: an entry that is taken forgets the removal.

Result: an_upstream_that_had_returned_stays_in_use failed before.

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -356,6 +356,7 @@
             state.catalog.remove(&record.key, now, None)
         }
         Some(Ok(entry)) => {
+            state.departures.forget(&record.key);
             let id = entry.id.clone();
             let change = state.catalog.put(entry);
             if change == CatalogChange::Started {
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -270,6 +270,27 @@
     assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
+/// Guards against an upstream that is kept out for good: it had been removed and had returned before the store came back.
+#[tokio::test]
+async fn an_upstream_that_had_returned_stays_in_use() {
+    let site = Site::start(2).await;
+    let entry = site.runner("a1").entry("ready");
+    site.store.put_upstream("a1", None);
+    wait_for_entries(&site, 4).await;
+    site.store.put_upstream("a1", Some(&entry));
+    wait_for_entries(&site, 5).await;
+    let copy = site.store.copy();
+    site.store.restore(&copy);
+    site.store.put_settings(&site_settings(40));
+    for instance in &site.instances {
+        wait_until("the settings are read again", || {
+            instance.settings_version() == 40
+        })
+        .await;
+    }
+    wait_for_entries(&site, 5).await;
+}
+
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
 #[tokio::test]
 async fn a_member_card_that_was_lost_is_written_again() {
--- a/marigoldlock_core/src/gateway/era.rs
+++ b/marigoldlock_core/src/gateway/era.rs
@@ -92,6 +92,11 @@
         self.departures.insert(id.to_owned(), departure);
     }
 
+    /// Forgets a removal, since the upstream is in use again.
+    pub fn forget(&mut self, id: &str) {
+        self.departures.remove(id);
+    }
+
     /// True if an entry read in `era` is one that was removed in an earlier era: the same process has not written since.
     /// Within an era the order of the records tells.
     pub fn is_outdated(&self, id: &str, era: StoreEra, date: EntryDate) -> bool {
