Tell no other instance of a recovery that only this one learns of late

Cause: an instance that entered an era counted as one that had seen the store recover, and told the others. Each that learned of the era late, after a freeze or a cut, made all of them keep removed upstreams for 1.6 s. Found by reading.

Change: each instance goes by when it has learned of the return itself.

Result: an_instance_that_learns_of_an_era_late_does_not_delay_removals failed before (7 upstreams where 6 were left).

--- a/marigoldlock/src/gateway/mod.rs
+++ b/marigoldlock/src/gateway/mod.rs
@@ -348,6 +348,11 @@
             .map_or(0, |settings| settings.version)
     }
 
+    /// Newest era of the store that the instance knows of.
+    pub fn store_era(&self) -> StoreEra {
+        self.gateway.store_era()
+    }
+
     /// Number of upstreams that accept requests.
     pub fn usable_upstreams(&self) -> usize {
         self.gateway
--- a/marigoldlock/src/gateway/state.rs
+++ b/marigoldlock/src/gateway/state.rs
@@ -321,8 +321,6 @@
         self.restored_at = Some(now);
         self.settings_offset = 0;
         self.upstreams_offset = 0;
-        // Entries that the copy lacks are written again, as those that lapsed in an outage.
-        self.store.record_recovery(now);
         // Upstreams may have come and gone in records that are lost.
         self.forget_versions(now);
         self.origins.store_again();
@@ -375,11 +373,13 @@
         view.knows_rank(self.started_at)
     }
 
-    /// Time of the store's last recovery as seen by any instance.
+    /// Time of the store's last recovery as seen by any instance, or of its last return from a copy as seen by this one: entries
+    /// that the copy lacks are written again, as those that lapsed in an outage. Each instance learns of a return by itself.
     pub fn last_store_recovery(&self, own: &MemberCard, now: MonoTime) -> Option<MonoTime> {
         let members = &self.members;
         self.store
             .recovered_at()
+            .max(self.restored_at)
             .max(FleetView { own, members, now }.store_recovered_at())
     }
 
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use marigoldlock_core::gateway::era::StoreEra;
+use marigoldlock_fleet::link::LinkMode;
 use marigoldlock_standin::site::{StoreCopy, site_settings};
 use platform_support::{Site, wait_until};
 
@@ -291,6 +293,40 @@
     wait_for_entries(&site, 5).await;
 }
 
+/// Guards against an instance that learns of an era late and makes the others keep upstreams that are removed, as after an outage.
+#[tokio::test]
+async fn an_instance_that_learns_of_an_era_late_does_not_delay_removals() {
+    let mut site = Site::start(1).await;
+    let link = site.start_separable_instance(1).await.unwrap();
+    link.set_mode(LinkMode::Silent);
+    site.store.set_endpoint_refusal(1, Some(502));
+    let copy = site.store.copy();
+    site.store.restore(&copy);
+    // The window in which entries may have lapsed is over at the first instance.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.instances[0].store_era(), StoreEra(2));
+    link.set_mode(LinkMode::Open);
+    wait_until("the other one has learned of the era", || {
+        site.instances[1].store_era() == StoreEra(2)
+    })
+    .await;
+    wait_for_entries(&site, 5).await;
+    site.store.put_upstream("a1", None);
+    for id in ["x1", "x2"] {
+        site.store
+            .put_upstream(id, Some(&site.runner("a2").entry("ready")));
+    }
+    let first = &site.instances[0];
+    wait_until("the new upstreams are listed", || first.usable_upstreams() >= 6).await;
+    site.store.put_settings(&site_settings(40));
+    wait_until("later settings are in force", || first.settings_version() == 40).await;
+    assert_eq!(
+        first.usable_upstreams(),
+        6,
+        "a1 is gone, and the store came back long ago"
+    );
+}
+
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
 #[tokio::test]
 async fn a_member_card_that_was_lost_is_written_again() {
--- a/marigoldlock_core/src/gateway/store_health.rs
+++ b/marigoldlock_core/src/gateway/store_health.rs
@@ -22,11 +22,6 @@
         !std::mem::replace(&mut self.is_reachable, true)
     }
 
-    /// Records that the store has come back with older content.
-    pub fn record_recovery(&mut self, now: MonoTime) {
-        self.recovered_at = Some(now);
-    }
-
     /// Records a failed call; returns true if the store was reachable before.
     pub fn record_failure(&mut self) -> bool {
         self.has_failed = true;
