Place what a listing lacks before its end, also at the start of an era

Cause: an upstream that a listing lacks was noted as removed at the last offset before the listing's end. If the store came back empty, that was offset 0, at which the first entry is written again; it was dropped as known. What the first listing of an era lacks also counted as a removal, though the store has only lost it. Found by reading.

Change: the place before the start of an era is the end of the one before, and nothing is remembered of what the store has lost.

Result: all_upstreams_are_used_again_after_the_store_came_back_empty failed before.

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -287,12 +287,18 @@
 /// Applies records of upstreams up to the position `next`. A complete listing also removes what it doesn't contain.
 pub fn apply_upstreams(gateway: &Gateway, records: &[KeyedRecord], next: StorePosition, is_listing: bool) {
     for record in records {
-        apply_upstream(gateway, record, next.era);
+        let position = StorePosition::new(next.era, record.offset);
+        apply_upstream(gateway, &record.key, record.value.as_ref(), position);
     }
     // A listing that is older than the known state can't tell which upstreams were removed.
     if is_listing && next >= gateway.state().upstreams_position() {
-        for record in find_removed(gateway, records, next.offset) {
-            apply_upstream(gateway, &record, next.era);
+        let is_first = gateway.state().upstreams_offset == 0;
+        for key in find_removed(gateway, records) {
+            apply_upstream(gateway, &key, None, next.before());
+            if is_first {
+                // The first listing of an era lacks what the store has lost; that says nothing of the upstream.
+                gateway.state().departures.forget(&key);
+            }
         }
     }
     let mut state = gateway.state();
@@ -301,62 +307,46 @@
     }
 }
 
-/// Returns removals for the upstreams that a complete listing no longer contains; the store has dropped their
-/// records.
-fn find_removed(gateway: &Gateway, listed: &[KeyedRecord], next_offset: u64) -> Vec<KeyedRecord> {
+/// Keys of the upstreams that a complete listing no longer contains; the store has dropped their records.
+fn find_removed(gateway: &Gateway, listed: &[KeyedRecord]) -> Vec<String> {
     let listed: FastSet<&str> = listed.iter().map(|record| record.key.as_str()).collect();
     let state = gateway.state();
     let removed = state
         .upstreams_raw
         .iter()
         .filter(|(key, raw)| raw.value.is_some() && !listed.contains(key.as_str()));
-    removed
-        .map(|(key, _)| KeyedRecord {
-            offset: next_offset.saturating_sub(1),
-            key: key.clone(),
-            value: None,
-        })
-        .collect()
+    removed.map(|(key, _)| key.clone()).collect()
 }
 
-/// Applies one record of an upstream that was read in `era`, unless a newer one is known.
-fn apply_upstream(gateway: &Gateway, record: &KeyedRecord, era: StoreEra) {
+/// Applies one record of an upstream, unless a newer one is known; without a value, the upstream was removed.
+fn apply_upstream(gateway: &Gateway, key: &str, value: Option<&Bytes>, position: StorePosition) {
     let now = gateway.now();
     let format = &gateway.parts.record_format;
     let mut state = gateway.state();
     let state = &mut *state;
     let raw = RawRecord {
-        position: StorePosition::new(era, record.offset),
-        value: record.value.clone(),
+        position,
+        value: value.cloned(),
     };
-    let before = state
-        .upstreams_raw
-        .get(&record.key)
-        .and_then(|known| known.value.clone());
-    if !state.put_raw_record(&record.key, raw) {
+    let before = state.upstreams_raw.get(key).and_then(|known| known.value.clone());
+    if !state.put_raw_record(key, raw) {
         return;
     }
-    let entry = record
-        .value
-        .as_ref()
-        .map(|value| format.upstream(&record.key, value));
     let date = |started_ms, value: Option<&Bytes>| EntryDate {
         started_ms,
         writes: value.and_then(|value| format.entry_writes(value)),
     };
-    let change = match entry {
+    let change = match value.map(|value| format.upstream(key, value)) {
         Some(Ok(entry))
-            if state.departures.is_outdated(
-                &record.key,
-                era,
-                date(entry.started_ms, record.value.as_ref()),
-            ) =>
+            if state
+                .departures
+                .is_outdated(key, position.era, date(entry.started_ms, value)) =>
         {
-            log::info!(upstream = record.key, era:%; "the store has lost the removal of an upstream; it stays removed");
-            state.catalog.remove(&record.key, now, None)
+            log::info!(upstream = key, position:%; "the store has lost the removal of an upstream; it stays removed");
+            state.catalog.remove(key, now, None)
         }
         Some(Ok(entry)) => {
-            state.departures.forget(&record.key);
+            state.departures.forget(key);
             let id = entry.id.clone();
             let change = state.catalog.put(entry);
             if change == CatalogChange::Started {
@@ -370,19 +360,18 @@
             change
         }
         Some(Err(err)) => {
-            log::warn!(upstream = record.key, error:% = err; "an upstream's entry is invalid; it gets no requests");
-            state.catalog.remove(&record.key, now, None)
+            log::warn!(upstream = key, error:% = err; "an upstream's entry is invalid; it gets no requests");
+            state.catalog.remove(key, now, None)
         }
         None => {
             let store_recovered_at = state.last_store_recovery(&gateway.parts.card, now);
-            let started_ms = state.catalog.get(&record.key).map(|entry| entry.started_ms);
-            let change = state.catalog.remove(&record.key, now, store_recovered_at);
+            let started_ms = state.catalog.get(key).map(|entry| entry.started_ms);
+            let change = state.catalog.remove(key, now, store_recovered_at);
             if change == CatalogChange::Gone
                 && let Some(started_ms) = started_ms
             {
-                state
-                    .departures
-                    .record(&record.key, era, date(started_ms, before.as_ref()), now);
+                let date = date(started_ms, before.as_ref());
+                state.departures.record(key, position.era, date, now);
             }
             change
         }
@@ -390,7 +379,7 @@
     if change != CatalogChange::None {
         state.update_versions(gateway.parts.is_first_start, now);
         log::info!(
-            upstream = record.key, change:? = change, offset = record.offset;
+            upstream = key, change:? = change, era:% = position.era, offset = position.offset;
             "upstream listing changed"
         );
     }
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -327,6 +327,21 @@
     );
 }
 
+/// Guards against the loss of the first record of a stream that came back empty.
+#[tokio::test]
+async fn all_upstreams_are_used_again_after_the_store_came_back_empty() {
+    let site = Site::start(2).await;
+    site.store.restore(&StoreCopy::default());
+    for instance in &site.instances {
+        wait_until("the listing is empty", || instance.usable_upstreams() == 0).await;
+    }
+    for runner in &site.upstreams {
+        site.store.put_upstream(runner.id(), Some(&runner.entry("ready")));
+    }
+    site.store.put_settings(&site_settings(40));
+    wait_for_entries(&site, 5).await;
+}
+
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
 #[tokio::test]
 async fn a_member_card_that_was_lost_is_written_again() {
--- a/marigoldlock_core/src/gateway/era.rs
+++ b/marigoldlock_core/src/gateway/era.rs
@@ -46,6 +46,15 @@
         Self { era, offset }
     }
 
+    /// Position right before this one, at which a listing that ends here shows what is missing. Before the start of an era that is
+    /// the end of the one before.
+    pub fn before(self) -> Self {
+        match self.offset.checked_sub(1) {
+            Some(offset) => Self::new(self.era, offset),
+            None => Self::new(StoreEra(self.era.0.saturating_sub(1)), u64::MAX),
+        }
+    }
+
     /// Position of the next record.
     pub fn next(self) -> Self {
         Self::new(self.era, self.offset + 1)
