Parse entries once, and forget removals in one pass

Cause: each record of an upstream was parsed a second time for its date, though few upstreams were ever removed, and each removal walked over all that were remembered, so that the removals of n upstreams cost n squared. Found by reading.

Result: core tests of positions and removals (tests/era.rs), one of which asserts that no date is asked for without a removal.

--- a/marigoldlock/src/gateway/follow.rs
+++ b/marigoldlock/src/gateway/follow.rs
@@ -58,6 +58,7 @@
             state.update_versions(gateway.parts.is_first_start, now);
             let stream_lifetime = state.stream_lifetime();
             state.origins.expire(stream_lifetime, now);
+            state.departures.expire(now);
             drop(state);
             let news_age = gateway.state().upstreams_date.age(now);
             metrics::gauge!("gateway_upstreams_news_age_seconds")
@@ -340,7 +341,7 @@
         Some(Ok(entry))
             if state
                 .departures
-                .is_outdated(key, position.era, date(entry.started_ms, value)) =>
+                .is_outdated(key, position.era, || date(entry.started_ms, value)) =>
         {
             log::info!(upstream = key, position:%; "the store has lost the removal of an upstream; it stays removed");
             state.catalog.remove(key, now, None)
--- a/marigoldlock_core/src/gateway/era.rs
+++ b/marigoldlock_core/src/gateway/era.rs
@@ -91,8 +91,6 @@
 impl DepartureTable {
     /// Records that the entry of an upstream was removed; `date` is that of the entry.
     pub fn record(&mut self, id: &str, era: StoreEra, date: EntryDate, now: MonoTime) {
-        self.departures
-            .retain(|_, departure| now.since(departure.seen_at) < DEPARTURE_RETENTION);
         let departure = Departure {
             era,
             date,
@@ -106,13 +104,19 @@
         self.departures.remove(id);
     }
 
-    /// True if an entry read in `era` is one that was removed in an earlier era: the same process has not written since.
-    /// Within an era the order of the records tells.
-    pub fn is_outdated(&self, id: &str, era: StoreEra, date: EntryDate) -> bool {
-        self.departures.get(id).is_some_and(|departure| {
-            departure.era < era
-                && departure.date.started_ms == date.started_ms
-                && departure.date.writes >= date.writes
+    /// Forgets removals that no copy can lack any more.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.departures
+            .retain(|_, departure| now.since(departure.seen_at) < DEPARTURE_RETENTION);
+    }
+
+    /// True if an entry read in `era` is one that was removed in an earlier era: the same process has not written since. Within an
+    /// era the order of the records tells. The date is only asked for if there was a removal.
+    pub fn is_outdated(&self, id: &str, era: StoreEra, date: impl FnOnce() -> EntryDate) -> bool {
+        let earlier = self.departures.get(id).filter(|departure| departure.era < era);
+        earlier.is_some_and(|departure| {
+            let date = date();
+            departure.date.started_ms == date.started_ms && departure.date.writes >= date.writes
         })
     }
 }
--- a/marigoldlock_core/src/gateway/tests/mod.rs
+++ b/marigoldlock_core/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod duty;
 mod duty_unfenced;
+mod era;
 mod even_choice;
 mod exchange;
 mod hedge;
