--- a/marigoldlock/src/gateway/era.rs
+++ b/marigoldlock/src/gateway/era.rs
@@ -2,7 +2,7 @@
 //!
 //! Any answer of the store and any heartbeat may bring the news that the store has come back from a copy. The instance enters the
 //! new era at once: what it had read stays in force, but no offset that it knew is used again, and each task reads or writes its
-//! stream anew. `docs/design/store-era.md` says what holds for each of them.
+//! stream anew. The design note on eras of the store says what holds for each of them.
 
 use marigoldlock_core::gateway::adapter::EraDated;
 use marigoldlock_core::gateway::prelude::*;
--- a/marigoldlock/tests/platform_store_era.rs
+++ b/marigoldlock/tests/platform_store_era.rs
@@ -247,31 +247,6 @@
     assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
-/// Guards against streams that are listed again, or duties that change hands, though the store has lost nothing.
-#[tokio::test]
-async fn a_calm_start_and_a_plain_outage_list_nothing_again() {
-    let started = Instant::now();
-    let mut site = Site::start(1).await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    let due = 1 + (started.elapsed().as_secs_f64() / MEMBER_LIST_INTERVAL.as_secs_f64()) as u64;
-    assert!(site.store.listings("keyed.members") <= due, "{due} were due");
-    site.start_instance(1).await.unwrap();
-    let holder = report_new_window(&site, 0, "before").await;
-    // Five upstreams are two pages.
-    let listings = || ["keyed.servers", "keyed.op"].map(|topic| site.store.listings(topic));
-    assert_eq!(listings(), [4, 2]);
-    site.store.set_faults(|faults| faults.refuse = Some(503));
-    tokio::time::sleep(Duration::from_millis(700)).await;
-    site.store.set_faults(|faults| faults.refuse = None);
-    site.store.put_settings(&site_settings(40));
-    for instance in &site.instances {
-        wait_until("the settings are read", || instance.settings_version() == 40).await;
-    }
-    assert_eq!(listings(), [4, 2], "the followers read on");
-    assert_eq!(report_new_window(&site, 0, "after").await, holder);
-    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
-}
-
 /// Guards against an upstream that is kept out for good: it had been removed and had returned before the store came back.
 #[tokio::test]
 async fn an_upstream_that_had_returned_stays_in_use() {
@@ -293,6 +268,21 @@
     wait_for_entries(&site, 5).await;
 }
 
+/// Guards against the loss of the first record of a stream that came back empty.
+#[tokio::test]
+async fn all_upstreams_are_used_again_after_the_store_came_back_empty() {
+    let site = Site::start(2).await;
+    site.store.restore(&StoreCopy::default());
+    for instance in &site.instances {
+        wait_until("the listing is empty", || instance.usable_upstreams() == 0).await;
+    }
+    for runner in &site.upstreams {
+        site.store.put_upstream(runner.id(), Some(&runner.entry("ready")));
+    }
+    site.store.put_settings(&site_settings(40));
+    wait_for_entries(&site, 5).await;
+}
+
 /// Guards against an instance that learns of an era late and makes the others keep upstreams that are removed, as after an outage.
 #[tokio::test]
 async fn an_instance_that_learns_of_an_era_late_does_not_delay_removals() {
@@ -327,19 +317,29 @@
     );
 }
 
-/// Guards against the loss of the first record of a stream that came back empty.
+/// Guards against streams that are listed again, or duties that change hands, though the store has lost nothing.
 #[tokio::test]
-async fn all_upstreams_are_used_again_after_the_store_came_back_empty() {
-    let site = Site::start(2).await;
-    site.store.restore(&StoreCopy::default());
+async fn a_calm_start_and_a_plain_outage_list_nothing_again() {
+    let started = Instant::now();
+    let mut site = Site::start(1).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let due = 1 + (started.elapsed().as_secs_f64() / MEMBER_LIST_INTERVAL.as_secs_f64()) as u64;
+    assert!(site.store.listings("keyed.members") <= due, "{due} were due");
+    site.start_instance(1).await.unwrap();
+    let holder = report_new_window(&site, 0, "before").await;
+    // Five upstreams are two pages.
+    let listings = || ["keyed.servers", "keyed.op"].map(|topic| site.store.listings(topic));
+    assert_eq!(listings(), [4, 2]);
+    site.store.set_faults(|faults| faults.refuse = Some(503));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    site.store.set_faults(|faults| faults.refuse = None);
+    site.store.put_settings(&site_settings(40));
     for instance in &site.instances {
-        wait_until("the listing is empty", || instance.usable_upstreams() == 0).await;
-    }
-    for runner in &site.upstreams {
-        site.store.put_upstream(runner.id(), Some(&runner.entry("ready")));
+        wait_until("the settings are read", || instance.settings_version() == 40).await;
     }
-    site.store.put_settings(&site_settings(40));
-    wait_for_entries(&site, 5).await;
+    assert_eq!(listings(), [4, 2], "the followers read on");
+    assert_eq!(report_new_window(&site, 0, "after").await, holder);
+    assert_eq!((site.duties.conflicts(), site.duties.rivals()), (0, 0));
 }
 
 /// Guards against members that don't find each other: a card that the store has lost was never written again.
--- a/marigoldlock_core/src/gateway/era.rs
+++ b/marigoldlock_core/src/gateway/era.rs
@@ -5,7 +5,7 @@
 //! its era, so positions carry both; a position of a later era is always the newer one.
 //!
 //! Most of what was read in an earlier era is read again. A removal is different: the copy may still hold the entry of an
-//! upstream that this instance has seen leave. [`DepartureTable`] keeps such entries out, see `docs/design/store-era.md`.
+//! upstream that this instance has seen leave. [`DepartureTable`] keeps such entries out.
 
 use std::time::Duration;
 
