Let responses fill more of the pool than callers' bodies

Cause: a large response of a sound upstream was given up as soon as callers' large bodies might not grow, though its request has run. Found by reading.

Change: responses may fill 85 % of the pool, as small requests do; 15 % stay for peers and readiness checks.

--- a/marigoldlock/src/gateway/intake.rs
+++ b/marigoldlock/src/gateway/intake.rs
@@ -354,9 +354,10 @@
         charge
     }
 
-    /// Charges a part of a large body if there is room without dropping anything else.
+    /// Charges a part of a response that has run, if there is room without dropping anything else. It may fill what callers'
+    /// bodies may not, but not the part for peers and readiness checks.
     pub fn charge_free(&self, bytes: u64) -> Option<ByteCharge> {
-        let is_charged = lock(&self.control.ledger).charge_free(self.id, bytes, ByteClass::Large);
+        let is_charged = lock(&self.control.ledger).charge_free(self.id, bytes, ByteClass::Small);
         is_charged.then(|| ByteCharge {
             control: Arc::clone(&self.control),
             id: self.id,
