Show that chunk extensions, trailers and early responses without end are bounded

Result: three more kinds in answers_without_end_leave_the_memory_flat, 64 requests at once each: less than 1 MB more resident memory. They passed on the code as it was; the HTTP library bounds them.

--- a/marigoldlock/tests/platform_endless.rs
+++ b/marigoldlock/tests/platform_endless.rs
@@ -25,6 +25,12 @@
     LargeBody,
     /// Chunks of one byte.
     TinyChunks,
+    /// The extension of a chunk.
+    Extension,
+    /// Trailers after a complete body.
+    Trailers,
+    /// Informational responses before the one that is waited for.
+    Informational,
     /// One event that never ends.
     Event,
     /// Bytes that are no HTTP.
@@ -69,6 +75,21 @@
             b"1\r\nx\r\n".repeat(1_000),
             Duration::from_millis(5),
         ),
+        Endless::Extension => (
+            format!("{start}Transfer-Encoding: chunked\r\n\r\n1;name="),
+            b"and more of it".repeat(1_000),
+            Duration::ZERO,
+        ),
+        Endless::Trailers => (
+            format!("{start}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"),
+            b"X-More: and more of it\r\n".repeat(1_000),
+            Duration::ZERO,
+        ),
+        Endless::Informational => (
+            String::new(),
+            b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100),
+            Duration::from_millis(5),
+        ),
         Endless::Event => (
             format!("{start}Content-Type: text/event-stream\r\n\r\n"),
             b"data: and more of it\n".repeat(1_000),
@@ -106,6 +127,9 @@
         Endless::Head,
         Endless::Noise,
         Endless::Event,
+        Endless::Extension,
+        Endless::Trailers,
+        Endless::Informational,
         Endless::TinyChunks,
         Endless::LargeBody,
     ];
