--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -1,5 +1,6 @@
 //! The project's own instances as separate processes, on settings like those of a small deployment.
 
+use std::ffi::c_int;
 use std::fs::File;
 use std::io::Result;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -9,6 +10,12 @@
 
 use crate::http::Client;
 
+const SIGHUP: c_int = 1;
+
+extern "C" {
+    fn kill(process: c_int, signal: c_int) -> c_int;
+}
+
 const FRONT_PORT: u16 = 8368;
 const READINESS_PORT: u16 = 8369;
 const CONTROL_PORT: u16 = 8367;
@@ -52,8 +59,8 @@
         SocketAddr::from((self.ip, READINESS_PORT))
     }
 
-    /// Starts the process with the command of the deploy file.
-    pub fn start(&mut self, zone: &str, seeds: &[Ipv4Addr], addresses: PlatformAddresses, is_first: bool) -> Result<()> {
+    /// Writes the settings file.
+    fn write_settings(&self, zone: &str, seeds: &[Ipv4Addr], addresses: PlatformAddresses, is_first: bool) -> Result<PathBuf> {
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{CONTROL_PORT}\"")).collect();
         let settings = format!(
             r#"{{"Node":"{name}","Role":"instance","MachineClass":"edge","Serves":["edge","control","directory"],
@@ -79,6 +86,22 @@
         );
         let path = self.folder.join(format!("{}.json", self.name));
         std::fs::write(&path, settings)?;
+        Ok(path)
+    }
+
+    /// Writes changed settings and sends the signal that says so.
+    pub fn change_settings(&self, zone: &str, seeds: &[Ipv4Addr], addresses: PlatformAddresses) -> Result<()> {
+        self.write_settings(zone, seeds, addresses, false)?;
+        if let Some(process) = &self.process {
+            // SAFETY: the process was started here and has not been waited for.
+            unsafe { kill(process.id() as c_int, SIGHUP) };
+        }
+        Ok(())
+    }
+
+    /// Starts the process with the command of the deploy file.
+    pub fn start(&mut self, zone: &str, seeds: &[Ipv4Addr], addresses: PlatformAddresses, is_first: bool) -> Result<()> {
+        let path = self.write_settings(zone, seeds, addresses, is_first)?;
         let log = File::options()
             .create(true)
             .append(true)
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -1,6 +1,6 @@
 //! A minimal HTTP/1.1 server and client on blocking sockets, enough for the stand-ins of this review.
 
-use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
+use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,9 +2,12 @@
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod drain;
+mod fields;
 mod fleet;
 mod http;
 mod memory;
+mod moved;
 mod platform;
 mod record;
 mod runner;
@@ -48,6 +51,9 @@
     };
     let verdict = match case.as_str() {
         "memory" => memory::run(&run),
+        "moved" => moved::run(&run),
+        "drain" => drain::run(&run),
+        "fields" => fields::run(&run),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
--- a/review/harness-2/platform.rs
+++ b/review/harness-2/platform.rs
@@ -5,6 +5,7 @@
 use std::io::Result;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -56,9 +57,16 @@
 #[derive(Clone, Default)]
 pub struct Channels {
     open: Arc<Mutex<Vec<TcpStream>>>,
+    is_closed: Arc<AtomicBool>,
 }
 
 impl Channels {
+    /// Closes the address: open channels are reset, and so are new ones.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        self.reset_all();
+    }
+
     /// Resets all open channels; new ones work.
     pub fn reset_all(&self) -> usize {
         let open = std::mem::take(&mut *self.open.lock().unwrap());
@@ -77,6 +85,10 @@
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(stream) = stream else { return };
+                if open.is_closed.load(Ordering::Relaxed) {
+                    reset(&stream);
+                    continue;
+                }
                 if let Ok(copy) = stream.try_clone() {
                     open.open.lock().unwrap().push(copy);
                 }
