--- a/review/harness-2/deadly.rs
+++ b/review/harness-2/deadly.rs
@@ -87,7 +87,8 @@
         let stage = self.stage.lock().unwrap().clone();
         let mut process = Command::new(std::env::current_exe()?)
             .args(["runner", &self.id, &self.port.to_string(), &stage])
-            .stdin(Stdio::null())
+            // The runner ends when this process does.
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
--- a/review/harness-2/runner.rs
+++ b/review/harness-2/runner.rs
@@ -263,12 +263,11 @@
     }
 }
 
-/// Runs a model runner as a process of its own, until it is killed or crashes.
+/// Runs a model runner as a process of its own, until it is killed, crashes or the process that started it ends.
 pub fn run_process(id: &str, port: u16, stage: &str) -> Result<()> {
     let store = Arc::new(Store::default());
     let _runner = Runner::start_at(&store, id, "copydesk-llm", "pest-a", Some(stage), port, true)?;
     println!("ready");
-    loop {
-        std::thread::sleep(Duration::from_secs(1));
-    }
+    std::io::copy(&mut std::io::stdin(), &mut std::io::sink())?;
+    Ok(())
 }
